Command line, both deployments, the embedded demo, and a model check of licences and adoption

Cause: operators had no way in but HTTP, and the licence protocol was only argued for.

The model check drives the state machines of the processes. Its first shape did not end: a renewal started the clock anew without bound, and every state was kept whole (24 GB used up). Ruled out: keeping states (fingerprints are kept instead), lost messages as steps (a message that is never delivered is lost), separate reply messages.

--- a/crates/core/src/head.rs
+++ b/crates/core/src/head.rs
@@ -29,7 +29,7 @@
 pub type ItemChange = (String, Option<String>);
 
 /// Changes of one revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HistoryEntry {
     /// Revision made by the changes.
     pub revision: Revision,
@@ -182,7 +182,7 @@
 }
 
 /// Configuration known to a process; it only moves forward.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Replica {
     /// Revision in force here.
     pub revision: Revision,
--- a/crates/core/src/licence.rs
+++ b/crates/core/src/licence.rs
@@ -75,7 +75,7 @@
 }
 
 /// A renewal that is ready to be written once `tell` is known to an entry that stays enrolled.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Renewal {
     /// Record to write.
     pub record: Record,
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -11,7 +11,7 @@
 
 pub use expected::ExpectedCompletion;
 pub use least_outstanding::LeastOutstanding;
-pub use load::{Load, LoadSnapshot};
+pub use load::{Load, LoadSnapshot, stretch};
 pub use power_of_two::PowerOfTwo;
 pub use random::Random;
 pub use round_robin::RoundRobin;
--- /dev/null
+++ b/crates/load/src/arrivals.rs
@@ -0,0 +1,68 @@
+//! Open-loop arrivals: a Poisson process with bursts, the same for the same seed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::experiment::Experiment;
+
+/// One request to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Time since the start.
+    pub at: Duration,
+    /// Serial, which makes its operation unique.
+    pub serial: usize,
+    /// Pipeline to run.
+    pub pipeline: String,
+    /// Customer that asks.
+    pub customer: String,
+}
+
+/// Uniform number in [0, 1).
+pub fn unit(rng: &mut impl Rng) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// Exponentially distributed time with a rate in events a second.
+pub fn exponential(rng: &mut impl Rng, rate: f64) -> f64 {
+    -(1.0 - unit(rng)).ln() / rate
+}
+
+fn pick<'a>(rng: &mut impl Rng, weights: &'a BTreeMap<String, u32>) -> &'a str {
+    let total: u32 = weights.values().sum();
+    let mut at = (unit(rng) * f64::from(total)) as u32;
+    for (name, weight) in weights {
+        if at < *weight {
+            return name;
+        }
+        at -= weight;
+    }
+    ""
+}
+
+/// All arrivals of an experiment.
+pub fn draw(experiment: &Experiment) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(experiment.seed);
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let burst = experiment
+            .bursts
+            .iter()
+            .find(|burst| at >= burst.at_s && at < burst.at_s + burst.for_s);
+        let rate = experiment.rate * burst.map_or(1.0, |burst| burst.factor);
+        at += exponential(&mut rng, rate);
+        if at >= experiment.duration_s {
+            return arrivals;
+        }
+        arrivals.push(Arrival {
+            at: Duration::from_secs_f64(at),
+            serial: arrivals.len(),
+            pipeline: pick(&mut rng, &experiment.mix).to_owned(),
+            customer: pick(&mut rng, &experiment.customers).to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/load/src/simulation/events.rs
@@ -0,0 +1,31 @@
+//! Events in the order of virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+/// Events by time; those of the same time keep their order.
+pub(super) struct Queue<E> {
+    order: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: BTreeMap<u64, E>,
+    next: u64,
+}
+
+impl<E> Default for Queue<E> {
+    fn default() -> Self {
+        Self { order: BinaryHeap::new(), events: BTreeMap::new(), next: 0 }
+    }
+}
+
+impl<E> Queue<E> {
+    pub(super) fn push(&mut self, at: Duration, event: E) {
+        self.order.push(Reverse((at, self.next)));
+        self.events.insert(self.next, event);
+        self.next += 1;
+    }
+
+    pub(super) fn pop(&mut self) -> Option<(Duration, E)> {
+        let Reverse((at, serial)) = self.order.pop()?;
+        Some((at, self.events.remove(&serial)?))
+    }
+}
--- /dev/null
+++ b/crates/marigold/src/bin/marigold-demo.rs
@@ -0,0 +1,38 @@
+//! `marigold-demo`: a whole deployment in one process, with its own load.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use marigold::demo;
+use marigold_process::logs;
+
+/// Starts a whole deployment in one process, sends its load, and prints attainment and cost
+///
+/// Exits with 0 only if every request had one whole answer of its own and no non-idempotent call ran twice.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Load in place of the deployment's own
+    #[bpaf(argument("FILE"), optional)]
+    load: Option<PathBuf>,
+    /// Write the report as JSON
+    #[bpaf(argument("FILE"), optional)]
+    report: Option<PathBuf>,
+    /// Folder of the deployment
+    #[bpaf(positional("FOLDER"))]
+    folder: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    logs::init(logs::QUIET_LEVELS);
+    let Options { folder, load, report } = options().run();
+    match demo::run(&demo::Options { folder, load, report }).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("marigold-demo: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/marigold/src/bin/marigold-entry.rs
+++ b/crates/marigold/src/bin/marigold-entry.rs
@@ -29,7 +29,7 @@
 }
 
 async fn run(options: Options) -> anyhow::Result<()> {
-    logs::init();
+    logs::init(logs::SERVER_LEVELS);
     let settings = settings::read(&options.settings)?;
     let mut signals = Signals::open().context("listening for signals")?;
     let entry = Entry::bind(settings).await?;
--- /dev/null
+++ b/crates/marigold/src/commands/apply.rs
@@ -0,0 +1,47 @@
+//! `marigold apply`: puts the declarations of a folder in force.
+
+use std::path::Path;
+
+use serde_json::json;
+
+use crate::client::{Accepted, Client};
+use crate::commands::plan;
+use crate::error::Result;
+
+/// Prints what was accepted.
+pub fn print_accepted(accepted: &Accepted, as_json: bool) {
+    if as_json {
+        let Accepted { revision, confirmed, entries } = accepted;
+        println!("{}", json!({ "revision": revision, "confirmed": confirmed, "entries": entries }));
+        return;
+    }
+    let note = if accepted.confirmed * 2 > accepted.entries {
+        ""
+    } else {
+        "; the others follow from the platform"
+    };
+    println!(
+        "revision {} is in force; confirmed by {} of {} entries{note}",
+        accepted.revision, accepted.confirmed, accepted.entries
+    );
+}
+
+/// Applies the folder.
+///
+/// # Errors
+/// Mistakes in the folder, a lost race, or the entry's word.
+pub async fn run(client: &Client, folder: &Path, as_json: bool) -> Result<()> {
+    let (config, changes) = plan::changes(client, folder).await?;
+    if changes.is_empty() {
+        let accepted = Accepted { revision: config.revision, confirmed: 1, entries: 1 };
+        if as_json {
+            print_accepted(&accepted, true);
+        } else {
+            println!("nothing to change; revision {} is in force", config.revision);
+        }
+        return Ok(());
+    }
+    let accepted = client.apply(config.revision, &changes).await?;
+    print_accepted(&accepted, as_json);
+    Ok(())
+}
--- a/crates/marigold/src/lib.rs
+++ b/crates/marigold/src/lib.rs
@@ -1,1 +1,7 @@
-//! Commands of the `marigold` binaries.
+//! Commands of the operators' command line, and the embedded demo.
+
+pub mod client;
+pub mod commands;
+pub mod demo;
+pub mod error;
+pub mod table;
--- /dev/null
+++ b/crates/model/tests/licence.rs
@@ -0,0 +1,85 @@
+//! The licence protocol holds, and each rule of it is needed.
+
+use marigold_model::licence::{Bounds, Rule, explore};
+
+/// Deaths of entries and agents, without pauses.
+const DEATHS: Bounds = Bounds {
+    tries: 2,
+    deaths: 2,
+    epochs: 2,
+    split_renewals: false,
+    releases: false,
+    refusals: false,
+    pauses: false,
+};
+
+/// One death, holders paused past their term, and entries that look dead.
+const PAUSES: Bounds = Bounds { deaths: 1, pauses: true, ..DEATHS };
+
+/// Calls between the halves of a renewal.
+const SPLIT: Bounds = Bounds { deaths: 0, pauses: true, split_renewals: true, ..DEATHS };
+
+/// Releases, refusals by targets and lost answers of the platform, over three epochs.
+const RELEASES: Bounds = Bounds { deaths: 0, epochs: 3, releases: true, refusals: true, ..DEATHS };
+
+fn assert_holds(bounds: Bounds, least_states: usize) {
+    let found = explore(bounds, None);
+    println!("{bounds:?}: {} states, depth {}", found.states, found.depth);
+    assert_eq!(found.violation, None);
+    assert!(
+        found.states >= least_states,
+        "only {} states: the bounds hide the protocol",
+        found.states
+    );
+}
+
+#[test]
+fn explore_deaths() {
+    assert_holds(DEATHS, 100_000);
+}
+
+#[test]
+fn explore_pauses() {
+    assert_holds(PAUSES, 100_000);
+}
+
+#[test]
+fn explore_split_renewals() {
+    assert_holds(SPLIT, 100_000);
+}
+
+#[test]
+fn explore_releases() {
+    assert_holds(RELEASES, 100_000);
+}
+
+fn assert_needed(rule: Rule, bounds: Bounds) {
+    let found = explore(bounds, Some(rule));
+    println!("without {rule:?}: {:?} after {} states", found.violation, found.states);
+    assert!(
+        found.violation.is_some(),
+        "nothing fails without {rule:?}: the check proves nothing about it"
+    );
+}
+
+macro_rules! needed {
+    ($($name:ident: $rule:ident in $bounds:expr,)*) => {
+        $(#[test]
+        fn $name() {
+            assert_needed(Rule::$rule, $bounds);
+        })*
+    };
+}
+
+needed! {
+    explore_without_record: Record in DEATHS,
+    explore_without_enrol: Enrol in DEATHS,
+    explore_without_teach: Teach in DEATHS,
+    explore_without_seal_and_expiry: SealAndExpiry in Bounds { deaths: 0, ..DEATHS },
+    explore_without_quarantine: Quarantine in DEATHS,
+    explore_without_keep_quarantine: KeepQuarantine in Bounds { epochs: 3, ..DEATHS },
+    explore_without_drop: Drop in Bounds { pauses: true, ..DEATHS },
+    explore_without_hand_over: HandOver in DEATHS,
+    explore_without_proof: Proof in DEATHS,
+    explore_without_release_last: ReleaseLast in Bounds { deaths: 1, ..RELEASES },
+}
