Route by expected completion with significant differences only; admit by expected time and fair share

Three faults: the limit was cut on every missed deadline, so one slow target shrank the whole pool; learned service times scatter (samples vary by half), so routing herded to lucky targets; a slow target was forgotten within seconds and then got many attempts at once.

--- a/crates/core/src/deadline.rs
+++ b/crates/core/src/deadline.rs
@@ -12,6 +12,8 @@
 const MIN_SAMPLES: u64 = 20;
 /// Quantile of a stage's duration that the rest of the budget has to cover.
 const NEED_QUANTILE: f64 = 0.25;
+/// Share of its expected time in which a stage still ends now and then.
+const LUCK: f64 = 0.75;
 /// Longest duration kept.
 const MAX_MICROS: u64 = 600_000_000;
 
@@ -51,7 +53,13 @@
     }
 }
 
-/// Whether the time left covers the needs of the stages to come.
-pub fn can_make_it(left: Duration, needs: impl IntoIterator<Item = Duration>) -> bool {
-    left > needs.into_iter().sum()
+/// Whether a request can still be answered: `expected` is the time to complete the next stage at its best target,
+/// `later` the needs of the stages after it.
+pub fn can_make_it(
+    left: Duration,
+    expected: Duration,
+    later: impl IntoIterator<Item = Duration>,
+) -> bool {
+    let later: Duration = later.into_iter().sum();
+    left > expected.mul_f64(LUCK) + later
 }
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-pub use expected::ExpectedCompletion;
+pub use expected::{ExpectedCompletion, best, expected, pool_unit};
 pub use least_outstanding::LeastOutstanding;
 pub use load::{Load, LoadSnapshot, stretch};
 pub use power_of_two::PowerOfTwo;
--- a/crates/core/src/router/expected.rs
+++ b/crates/core/src/router/expected.rs
@@ -11,6 +11,9 @@
 /// Expected times are compared in steps of this size, so that close ones are spread.
 const STEP: Duration = Duration::from_micros(200);
 
+/// Steps added for an ejected target: more than any call takes.
+const EJECTED_STEPS: u64 = 1 << 40;
+
 /// Picks the candidate expected to complete first.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ExpectedCompletion;
@@ -35,11 +38,19 @@
     units.get(units.len() / 2).copied().unwrap_or(DEFAULT_UNIT)
 }
 
+/// Time until the best candidate would complete one more call; none without candidates.
+pub fn best(candidates: &[Candidate]) -> Option<Duration> {
+    let unit = pool_unit(candidates);
+    candidates.iter().map(|candidate| expected(candidate, unit)).min()
+}
+
 impl Strategy for ExpectedCompletion {
     fn pick(&mut self, candidates: &[Candidate], rng: &mut impl rand::Rng) -> Option<usize> {
         let unit = pool_unit(candidates);
         super::least_by(candidates, rng, |candidate| {
-            (expected(candidate, unit).as_micros() / STEP.as_micros()) as u64
+            let steps = (expected(candidate, unit).as_micros() / STEP.as_micros()) as u64;
+            // Ejected targets come last, in the same order.
+            if candidate.load.ejected { steps + EJECTED_STEPS } else { steps }
         })
     }
 }
--- a/crates/core/src/router/load.rs
+++ b/crates/core/src/router/load.rs
@@ -1,14 +1,16 @@
 //! What an entry knows of a target's load: lagged reports, own calls since, and learned service times.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::ids::Uptime;
 
 /// Weight of a new sample in the learned service time, as a right shift.
 const SAMPLE_SHIFT: u32 = 3;
-/// Half-life of a learned service time without new samples, after which a slow target is tried again.
-const FORGET_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Learned service times within this factor of the pool's count as the pool's, because samples scatter.
+const SIGNIFICANT: f64 = 1.5;
+/// Time without a sample after which an idle slow target gets one attempt as a probe.
+const PROBE_AFTER: Duration = Duration::from_secs(5);
 /// First ejection after a failure; it doubles with each further one.
 const EJECT_FIRST: Duration = Duration::from_millis(250);
 /// Doublings of the ejection at the most.
@@ -19,7 +21,8 @@
 pub struct Load {
     own: AtomicU32,
     reported: AtomicU32,
-    since_report: AtomicU32,
+    /// Attempts sent less those ended since the last report.
+    since_report: AtomicI32,
     unit_micros: AtomicU64,
     sampled_at_ms: AtomicU64,
     failures: AtomicU32,
@@ -68,6 +71,14 @@
         self.sampled_at_ms.store(now.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Learns from an attempt that was given up after `duration`: it would have taken longer.
+    pub fn on_timeout(&self, duration: Duration, load_at_send: u32, concurrency: u32, now: Uptime) {
+        let least = duration.mul_f64(1.0 / stretch(load_at_send, concurrency)).as_micros() as u64;
+        if least > self.unit_micros.load(Ordering::Relaxed) {
+            self.on_success(duration, load_at_send, concurrency, now);
+        }
+    }
+
     /// Leaves the target out for a while after a failed attempt.
     pub fn on_failure(&self, now: Uptime) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(EJECT_DOUBLINGS);
@@ -80,9 +91,7 @@
         let _ = self
             .own
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |own| Some(own.saturating_sub(1)));
-        let _ = self.since_report.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |sent| {
-            Some(sent.saturating_sub(1))
-        });
+        self.since_report.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Takes in a report of calls in flight and queued.
@@ -94,8 +103,8 @@
     /// Load as known at `now`.
     pub fn snapshot(&self, now: Uptime) -> LoadSnapshot {
         let own = self.own.load(Ordering::Relaxed);
-        let reported =
-            self.reported.load(Ordering::Relaxed) + self.since_report.load(Ordering::Relaxed);
+        let since_report = self.since_report.load(Ordering::Relaxed);
+        let reported = self.reported.load(Ordering::Relaxed).saturating_add_signed(since_report);
         let now_ms = now.as_millis() as u64;
         let unit = self.unit_micros.load(Ordering::Relaxed);
         LoadSnapshot {
@@ -111,10 +120,12 @@
 }
 
 impl LoadSnapshot {
-    /// Learned service time, drawn towards the pool's as its samples grow old.
+    /// Service time to go by: the pool's, unless the target's own differs from it beyond scatter.
     pub fn unit_or(&self, pool_unit: Duration) -> Duration {
         let Some(unit) = self.unit else { return pool_unit };
-        let kept = 0.5_f64.powf(self.sample_age.as_secs_f64() / FORGET_HALF_LIFE.as_secs_f64());
-        unit.mul_f64(kept) + pool_unit.mul_f64(1.0 - kept)
+        let is_slow = unit > pool_unit.mul_f64(SIGNIFICANT);
+        let is_fast = unit.mul_f64(SIGNIFICANT) < pool_unit;
+        let is_probe = is_slow && self.own == 0 && self.sample_age >= PROBE_AFTER;
+        if is_fast || (is_slow && !is_probe) { unit } else { pool_unit }
     }
 }
--- a/crates/core/src/shares.rs
+++ b/crates/core/src/shares.rs
@@ -1,4 +1,7 @@
 //! Admission to a pool: an adaptive limit, and weighted fair shares of it among customers under contention.
+//!
+//! The limit starts at the entry's even part of the pool. Agents refuse when other entries fill the pool beyond that,
+//! which cuts the limit; answers in time while it is in use raise it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,8 +14,10 @@
 const CUT: f64 = 0.85;
 /// Share of the limit up to which every customer is admitted.
 const CONTENTION: f64 = 0.8;
+/// Limit at the start, in multiples of the pool's capacity.
+const START_LIMIT: f64 = 1.5;
 /// Largest limit, in multiples of the pool's capacity.
-const MAX_LIMIT: f64 = 3.0;
+const MAX_LIMIT: f64 = 1.5;
 /// Least limit, in multiples of the pool's capacity.
 const MIN_LIMIT: f64 = 0.25;
 
@@ -38,7 +43,7 @@
         let capacity = f64::from(capacity.max(1));
         Self {
             capacity,
-            limit: capacity * 1.5,
+            limit: capacity * START_LIMIT,
             in_flight: 0,
             customers: BTreeMap::new(),
             last_cut: Uptime::ZERO,
@@ -98,7 +103,7 @@
         }
     }
 
-    /// Cuts the limit after a call that was refused by a target or came late.
+    /// Cuts the limit after a call that an agent refused because its target is full.
     pub fn on_overload(&mut self, now: Uptime) {
         if now.saturating_sub(self.last_cut) >= CUT_EVERY {
             self.last_cut = now;
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -10,7 +10,7 @@
 use marigold_core::ids::Name;
 use marigold_core::outcome::{Answer, NotRunCause, Outcome};
 use marigold_core::rendezvous;
-use marigold_core::router::{Candidate, ExpectedCompletion, Strategy as _};
+use marigold_core::router::{self, Candidate, ExpectedCompletion, Strategy as _};
 use marigold_core::view::{Customer, PoolView, View};
 use marigold_schema::messages::Call;
 
@@ -138,6 +138,7 @@
 struct Chosen {
     handle: Arc<TargetHandle>,
     load: u32,
+    expected: Duration,
 }
 
 impl StageRequest<'_> {
@@ -150,7 +151,8 @@
         let Some(pool) = self.shared.pool(pool_name) else {
             return Err(StageFailed::refused(FailureKind::NoTarget, "the pool is not known here"));
         };
-        if !self.can_make_it(&pool) {
+        let (_, candidates) = self.candidates(&BTreeSet::new());
+        if router::best(&candidates).is_some_and(|expected| !self.can_make_it(expected)) {
             return Err(StageFailed::refused(
                 FailureKind::TooLate,
                 "the deadline cannot be met any more",
@@ -166,7 +168,7 @@
         let ended = if self.idempotent {
             self.run_idempotent(&pool, on_token).await
         } else {
-            self.run_once(&pool).await
+            self.run_once().await
         };
         self.learn(&pool, &ended);
         ended
@@ -176,8 +178,8 @@
         self.deadline.saturating_sub(self.shared.now())
     }
 
-    fn can_make_it(&self, pool: &PoolState) -> bool {
-        deadline::can_make_it(self.left(), [pool.clock.lock().need(), self.need_after])
+    fn can_make_it(&self, expected: Duration) -> bool {
+        deadline::can_make_it(self.left(), expected, [self.need_after])
     }
 
     fn learn(&self, pool: &PoolState, ended: &Result<StageDone, StageFailed>) {
@@ -189,52 +191,41 @@
                 pool.shares.lock().on_success();
             }
             Err(failed) => {
-                let is_overload = matches!(
-                    failed.kind,
-                    FailureKind::Deadline | FailureKind::NotRun(NotRunCause::Overloaded)
-                );
-                if is_overload {
+                if matches!(failed.kind, FailureKind::NotRun(NotRunCause::Overloaded)) {
                     pool.shares.lock().on_overload(now);
                 }
             }
         }
     }
 
-    /// Chooses a target that has not failed this stage before; an ejected one only when there is no other.
-    fn choose(&self, tried: &BTreeSet<Name>) -> Option<Chosen> {
+    /// Usable targets that have not failed this stage before, and what routing knows of them.
+    fn candidates(&self, tried: &BTreeSet<Name>) -> (Vec<Arc<TargetHandle>>, Vec<Candidate>) {
         let now = self.shared.now();
         let targets = self.shared.targets.load();
         let of_pool = targets.values().filter(|handle| handle.pool == self.pool.name);
-        let usable: Vec<&Arc<TargetHandle>> = of_pool
+        let usable: Vec<Arc<TargetHandle>> = of_pool
             .filter(|handle| handle.is_usable(now) && !tried.contains(&handle.name))
+            .cloned()
             .collect();
-        let snapshots: Vec<_> = usable.iter().map(|handle| handle.load.snapshot(now)).collect();
-        let any_fit = snapshots.iter().any(|load| !load.ejected);
-        let prefix_home = self.prefix.and_then(|prefix| {
-            usable
-                .iter()
-                .map(|handle| handle.name.as_str())
-                .max_by_key(|name| rendezvous::score(prefix, name))
-        });
-        let mut handles = Vec::new();
-        let mut candidates = Vec::new();
-        for (handle, load) in usable.into_iter().zip(snapshots) {
-            if load.ejected && any_fit {
-                continue;
-            }
-            let round_trip =
-                2 * self.view.delay(&self.shared.settings.data_centre, &handle.data_centre);
-            let has_prefix = prefix_home == Some(handle.name.as_str());
-            candidates.push(Candidate {
-                load,
-                concurrency: self.pool.concurrency,
-                round_trip,
-                has_prefix,
-            });
-            handles.push(handle);
-        }
+        let names = usable.iter().map(|handle| handle.name.as_str());
+        let prefix_home =
+            self.prefix.and_then(|prefix| names.max_by_key(|name| rendezvous::score(prefix, name)));
+        let candidate = |handle: &Arc<TargetHandle>| Candidate {
+            load: handle.load.snapshot(now),
+            concurrency: self.pool.concurrency,
+            round_trip: 2 * self.view.delay(&self.shared.settings.data_centre, &handle.data_centre),
+            has_prefix: prefix_home == Some(handle.name.as_str()),
+        };
+        let candidates = usable.iter().map(candidate).collect();
+        (usable, candidates)
+    }
+
+    fn choose(&self, tried: &BTreeSet<Name>) -> Option<Chosen> {
+        let (handles, candidates) = self.candidates(tried);
         let picked = ExpectedCompletion.pick(&candidates, &mut rand::rng())?;
-        Some(Chosen { handle: handles[picked].clone(), load: candidates[picked].load.total })
+        let expected = router::expected(&candidates[picked], router::pool_unit(&candidates));
+        let load = candidates[picked].load.total;
+        Some(Chosen { handle: handles[picked].clone(), load, expected })
     }
 
     fn call(&self, handle: &TargetHandle, resume_from: u32) -> Call {
@@ -274,6 +265,9 @@
         let mut may_have_run = false;
         for attempt in 0..MAX_ATTEMPTS {
             let Some(chosen) = self.choose(&tried) else { break };
+            if attempt > 0 && !self.can_make_it(chosen.expected) {
+                break;
+            }
             let handle = &chosen.handle;
             let is_free_retry = matches!(failed.kind, FailureKind::NotRun(cause) if cause != NotRunCause::Overloaded);
             if attempt > 0 && !is_free_retry && !pool.retries.withdraw() {
@@ -295,7 +289,8 @@
                 Ok(ended) => ended.outcome,
                 Err(_) => {
                     charge.worth = Some(Worth::Late);
-                    handle.load.on_failure(now);
+                    let duration = now.saturating_sub(started);
+                    handle.load.on_timeout(duration, chosen.load, self.pool.concurrency, now);
                     return Err(self.deadline_passed(handle));
                 }
             };
@@ -342,17 +337,14 @@
                 }
             }
             tried.insert(handle.name.clone());
-            if !self.can_make_it(pool) {
-                break;
-            }
         }
         failed.may_have_run |= may_have_run;
         Err(failed)
     }
 
     /// Runs a stage that must not run twice.
-    async fn run_once(&self, pool: &PoolState) -> Result<StageDone, StageFailed> {
-        let Some((key, body_digest)) = self.key else { return self.run_unkeyed(pool).await };
+    async fn run_once(&self) -> Result<StageDone, StageFailed> {
+        let Some((key, body_digest)) = self.key else { return self.run_unkeyed().await };
         let digest = digest::key(&self.customer.name, self.pipeline, self.stage, key);
         let shard = digest::shard(digest, self.pool.pool.key_shards.get());
         let key = Key { digest, shard, body_digest: body_digest.to_owned() };
@@ -388,7 +380,7 @@
         }
     }
 
-    async fn run_unkeyed(&self, pool: &PoolState) -> Result<StageDone, StageFailed> {
+    async fn run_unkeyed(&self) -> Result<StageDone, StageFailed> {
         let mut tried = BTreeSet::new();
         let mut failed =
             StageFailed::refused(FailureKind::NoTarget, "no target of the pool takes work");
@@ -416,9 +408,6 @@
             chosen.handle.beat_now.notify_one();
             failed = not_run(cause, retry_after, &chosen.handle.name);
             tried.insert(chosen.handle.name.clone());
-            if !self.can_make_it(pool) {
-                break;
-            }
         }
         Err(failed)
     }
--- a/crates/load/src/simulation.rs
+++ b/crates/load/src/simulation.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use marigold_core::deadline::{self, StageClock};
-use marigold_core::router::{Candidate, Load, Strategy};
+use marigold_core::router::{self, Candidate, Load, Strategy};
 use marigold_core::shares::Shares;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -147,7 +147,8 @@
 
 struct Simulation<'a, S> {
     plan: &'a SimulationPlan,
-    strategy: S,
+    /// One strategy for each pool.
+    strategies: Vec<S>,
     rng: ChaCha8Rng,
     queue: Queue<Event>,
     now: Duration,
@@ -159,7 +160,7 @@
 }
 
 /// Runs a simulation with a routing strategy.
-pub fn run(plan: &SimulationPlan, strategy: impl Strategy) -> Figures {
+pub fn run(plan: &SimulationPlan, strategy: impl Strategy + Clone) -> Figures {
     let mut simulation = Simulation::new(plan, strategy);
     while let Some((at, event)) = simulation.queue.pop() {
         simulation.now = at;
@@ -168,7 +169,7 @@
     simulation.figures
 }
 
-impl<'a, S: Strategy> Simulation<'a, S> {
+impl<'a, S: Strategy + Clone> Simulation<'a, S> {
     fn new(plan: &'a SimulationPlan, strategy: S) -> Self {
         let mut targets = Vec::new();
         let mut pools = Vec::new();
@@ -194,10 +195,11 @@
         let figures =
             Figures { by_customer: vec![(0, 0); plan.customers.len()], ..Figures::default() };
         let rng = ChaCha8Rng::seed_from_u64(plan.seed);
+        let strategies = vec![strategy; plan.stages.len()];
         let requests = Vec::new();
         Self {
             plan,
-            strategy,
+            strategies,
             rng,
             queue,
             now: Duration::ZERO,
@@ -260,36 +262,40 @@
         self.start_stage(id);
     }
 
+    fn candidates(&self, stage: usize) -> Vec<Candidate> {
+        let pool = &self.pools[stage];
+        let candidate = |target: usize| Candidate {
+            load: self.loads[target].snapshot(self.now),
+            concurrency: self.plan.stages[stage].concurrency,
+            round_trip: Duration::from_millis(1),
+            has_prefix: false,
+        };
+        (pool.first..pool.first + pool.len).map(candidate).collect()
+    }
+
     fn start_stage(&mut self, id: usize) {
         let request = &self.requests[id];
         let (stage, customer) = (request.stage, request.customer);
+        let candidates = self.candidates(stage);
         if self.plan.admission {
             let left = request.deadline.saturating_sub(self.now);
-            let needs = self.pools[stage..].iter().map(|pool| pool.clock.need());
+            let later = self.pools[stage + 1..].iter().map(|pool| pool.clock.need());
+            let expected = router::best(&candidates).unwrap_or_default();
             let name = customer.to_string();
-            let can_make_it = deadline::can_make_it(left, needs);
-            if !can_make_it || !self.pools[stage].shares.admit(&name, self.plan.customers[customer])
+            if !deadline::can_make_it(left, expected, later)
+                || !self.pools[stage].shares.admit(&name, self.plan.customers[customer])
             {
                 self.end(id, false);
                 self.figures.refused += 1;
                 return;
             }
         }
-        self.send(id, stage);
+        self.send(id, stage, &candidates);
     }
 
-    fn send(&mut self, id: usize, stage: usize) {
+    fn send(&mut self, id: usize, stage: usize, candidates: &[Candidate]) {
+        let Some(picked) = self.strategies[stage].pick(candidates, &mut self.rng) else { return };
         let pool = &self.pools[stage];
-        let concurrency = self.plan.stages[stage].concurrency;
-        let candidates: Vec<Candidate> = (pool.first..pool.first + pool.len)
-            .map(|target| Candidate {
-                load: self.loads[target].snapshot(self.now),
-                concurrency,
-                round_trip: Duration::from_millis(1),
-                has_prefix: false,
-            })
-            .collect();
-        let Some(picked) = self.strategy.pick(&candidates, &mut self.rng) else { return };
         let target = pool.first + picked;
         let load = candidates[picked].load.total;
         self.loads[target].on_send();
@@ -358,9 +364,11 @@
             let service = self.targets[target].cancel(id, self.now);
             self.requests[id].cost += self.cost_of(stage, service);
             self.loads[target].on_end();
-            self.loads[target].on_failure(self.now);
+            let request = &self.requests[id];
+            let duration = self.now.saturating_sub(request.sent_at);
+            let concurrency = self.plan.stages[stage].concurrency;
+            self.loads[target].on_timeout(duration, request.load_at_send, concurrency, self.now);
             self.release(id);
-            self.pools[stage].shares.on_overload(self.now);
             self.start_waiting(target);
         }
         self.end(id, false);
--- a/crates/marigold/src/lib.rs
+++ b/crates/marigold/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod commands;
 pub mod demo;
 pub mod error;
+pub mod measure;
 pub mod table;
--- /dev/null
+++ b/crates/marigold/src/measure/overhead.rs
@@ -0,0 +1,121 @@
+//! Latency that entry and agent add to a call, and what one entry carries.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use marigold_testbed::bed::Bed;
+use marigold_testbed::plan::{Binaries, CUSTOMER_TOKEN, Plan};
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use super::proc;
+
+/// Options of the measurement.
+pub struct Options {
+    /// Folder with the binaries.
+    pub binaries: std::path::PathBuf,
+    /// Requests a second.
+    pub rate: f64,
+    /// Length of each part.
+    pub length: Duration,
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are valid")
+}
+
+/// Sends POSTs at a fixed rate and gives the latencies from their planned times, and the failures.
+async fn send_at_rate(url: &str, rate: f64, length: Duration) -> (Histogram<u64>, u64) {
+    let http = reqwest::Client::builder()
+        .pool_max_idle_per_host(512)
+        .build()
+        .expect("the HTTP client is set up");
+    let started = Instant::now();
+    let mut running = JoinSet::new();
+    let count = (rate * length.as_secs_f64()) as u64;
+    for i in 0..count {
+        let planned = started + Duration::from_secs_f64(i as f64 / rate);
+        tokio::time::sleep_until(planned.into()).await;
+        let req = http
+            .post(url)
+            .bearer_auth(CUSTOMER_TOKEN)
+            .json(&json!({ "operation": format!("o{i}"), "request": "r" }));
+        running.spawn(async move {
+            let is_ok = match req.send().await {
+                Ok(response) => response.status() == 200 && response.bytes().await.is_ok(),
+                Err(_) => false,
+            };
+            (is_ok, planned.elapsed())
+        });
+    }
+    let (mut latencies, mut failures) = (histogram(), 0);
+    while let Some(Ok((is_ok, latency))) = running.join_next().await {
+        if is_ok {
+            latencies.saturating_record(latency.as_micros() as u64);
+        } else {
+            failures += 1;
+        }
+    }
+    (latencies, failures)
+}
+
+fn print(name: &str, (latencies, failures): &(Histogram<u64>, u64)) {
+    let millis = |quantile| latencies.value_at_quantile(quantile) as f64 / 1e3;
+    println!(
+        "{name:<28} {:>7} answered {failures:>4} failed  p50 {:.2} ms  p99 {:.2} ms  max {:.2} ms",
+        latencies.len(),
+        millis(0.5),
+        millis(0.99),
+        millis(1.0)
+    );
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+/// A process that cannot be measured.
+pub async fn run(options: &Options) -> anyhow::Result<()> {
+    let at = |name: &str| options.binaries.join(name);
+    let binaries = Binaries {
+        entry: at("marigold-entry"),
+        agent: at("marigold-agent"),
+        standin: at("marigold-standin"),
+    };
+    let mut plan = Plan::small();
+    plan.entries = 1;
+    plan.pools.retain(|pool| pool.name == "encoders");
+    plan.pools[0].duration_ms = 1.0;
+    plan.pools[0].extra = "concurrency = 256";
+    plan.pipelines = "[pipeline.embed]\ndeadline_ms = 2000\nstages = [{ name = \"encode\", pool = \"encoders\" }]\n";
+    let mut bed = Bed::start(binaries, &plan, "overhead").await;
+    let (entry, agent) = (bed.process("entry-0").id(), bed.process("agent-encoders-0").id());
+    let idle = (proc::usage(entry)?, proc::usage(agent)?);
+    let direct_url = format!("http://{}/v1/call", bed.targets[0].target_addr);
+    let system_url = format!("{}/v1/run/embed", bed.entries[0].base());
+    let direct = send_at_rate(&direct_url, options.rate, options.length).await;
+    let through = send_at_rate(&system_url, options.rate, options.length).await;
+    print("direct to the stand-in", &direct);
+    print("through entry and agent", &through);
+    let added = |quantile| {
+        (through.0.value_at_quantile(quantile) as f64 - direct.0.value_at_quantile(quantile) as f64)
+            / 1e3
+    };
+    println!(
+        "added: p50 {:.2} ms, p99 {:.2} ms at {} requests/s",
+        added(0.5),
+        added(0.99),
+        options.rate
+    );
+    let loaded = (proc::usage(entry)?, proc::usage(agent)?);
+    for (name, idle, loaded) in [("entry", idle.0, loaded.0), ("agent", idle.1, loaded.1)] {
+        let cpu = (loaded.cpu - idle.cpu).as_secs_f64();
+        println!(
+            "{name}: {:.1} MB idle, {:.1} MB after the load, {:.2} s of processor time ({:.0} us a request)",
+            idle.resident as f64 / 1e6,
+            loaded.resident as f64 / 1e6,
+            cpu,
+            1e6 * cpu / through.0.len().max(1) as f64
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/marigold/src/measure/policy.rs
@@ -0,0 +1,146 @@
+//! The policy against its baselines, in virtual time: the same tables at every run.
+
+use std::time::Duration;
+
+use marigold_core::router::{ExpectedCompletion, LeastOutstanding, PowerOfTwo, Random, RoundRobin};
+use marigold_load::simulation::{self, Burst, Figures, SimulationPlan, StagePlan};
+
+use crate::table;
+
+/// Seeds of each table.
+pub const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+/// Requests a second at which the narrowest pool of [`plan`] is in full use.
+pub const SATURATION: f64 = 240.0;
+
+/// Names of the strategies, ours first.
+pub const STRATEGIES: [&str; 5] =
+    ["expected completion", "power of two", "least outstanding", "round robin", "random"];
+
+/// A deployment of the Co-operative's shape, with a load relative to its saturation.
+pub fn plan(seed: u64, load: f64) -> SimulationPlan {
+    let stage = |targets, concurrency, millis, cost_per_s| StagePlan {
+        targets,
+        concurrency,
+        service: Duration::from_millis(millis),
+        cost_per_s,
+    };
+    SimulationPlan {
+        seed,
+        duration: Duration::from_secs(60),
+        rate: SATURATION * load,
+        deadline: Duration::from_millis(4000),
+        stages: vec![
+            stage(4, 16, 10, 1.0),
+            stage(4, 16, 20, 1.5),
+            stage(4, 16, 15, 1.2),
+            stage(20, 16, 650, 8.0),
+        ],
+        slow_one_in: 0,
+        slow_factor: 5.0,
+        burst: None,
+        customers: vec![1; 5],
+        greedy: 0.0,
+        admission: true,
+    }
+}
+
+/// Peak load with one target in ten slow.
+pub fn slow_peak(seed: u64) -> SimulationPlan {
+    SimulationPlan { slow_one_in: 10, ..plan(seed, 0.75) }
+}
+
+/// A burst of three times the load for ten seconds.
+pub fn burst(seed: u64) -> SimulationPlan {
+    let burst = Burst { at: Duration::from_secs(20), length: Duration::from_secs(10), factor: 3.0 };
+    SimulationPlan { burst: Some(burst), ..plan(seed, 0.6) }
+}
+
+/// Runs a plan with a strategy by its index in [`STRATEGIES`].
+pub fn run_with(plan: &SimulationPlan, strategy: usize) -> Figures {
+    match strategy {
+        0 => simulation::run(plan, ExpectedCompletion),
+        1 => simulation::run(plan, PowerOfTwo),
+        2 => simulation::run(plan, LeastOutstanding),
+        3 => simulation::run(plan, RoundRobin::default()),
+        _ => simulation::run(plan, Random),
+    }
+}
+
+fn spread(values: &[f64]) -> String {
+    let least = values.iter().copied().fold(f64::MAX, f64::min);
+    let most = values.iter().copied().fold(f64::MIN, f64::max);
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    format!("{mean:.3} ({least:.3} to {most:.3})")
+}
+
+fn compare(title: &str, plan: impl Fn(u64) -> SimulationPlan) {
+    println!("\n## {title}\n");
+    let rows: Vec<Vec<String>> = STRATEGIES
+        .iter()
+        .enumerate()
+        .map(|(i, name)| {
+            let figures: Vec<Figures> =
+                SEEDS.iter().map(|seed| run_with(&plan(*seed), i)).collect();
+            let column =
+                |value: fn(&Figures) -> f64| spread(&figures.iter().map(value).collect::<Vec<_>>());
+            vec![
+                (*name).to_owned(),
+                column(|figures| 100.0 * figures.attainment()),
+                column(Figures::cost_per_answer),
+                column(|figures| 100.0 * figures.waste()),
+                column(|figures| figures.refused as f64),
+            ]
+        })
+        .collect();
+    table::print(&["strategy", "attained %", "cost per answer", "wasted %", "refused"], &rows);
+}
+
+/// Goodput at twice the saturation over goodput at saturation.
+pub fn overload_ratio(seed: u64, admission: bool) -> f64 {
+    let goodput = |load: f64| {
+        let plan = SimulationPlan { admission, ..plan(seed, load) };
+        run_with(&plan, 0).attained as f64
+    };
+    goodput(2.0) / goodput(1.0)
+}
+
+/// Attainment of customers beside one that sends nine tenths of twice the saturation.
+pub fn others_beside_greedy(seed: u64, admission: bool) -> f64 {
+    let plan = SimulationPlan { greedy: 0.88, admission, ..plan(seed, 2.0) };
+    let figures = run_with(&plan, 0);
+    let (attained, sent) = figures.by_customer[1..]
+        .iter()
+        .fold((0, 0), |(a, s), (attained, sent)| (a + attained, s + sent));
+    attained as f64 / sent.max(1) as f64
+}
+
+/// Prints all tables.
+pub fn run() {
+    compare("Ordinary load (60% of saturation)", |seed| plan(seed, 0.6));
+    compare("Peak load (75%), one target in ten five times slower", slow_peak);
+    compare("Overload (200%)", |seed| plan(seed, 2.0));
+    compare("Burst of 3x for 10 s at 60%", burst);
+    println!("\n## Admission\n");
+    let rows: Vec<Vec<String>> = [true, false]
+        .iter()
+        .map(|admission| {
+            let recovery = |seed: &u64| {
+                let plan = SimulationPlan { admission: *admission, ..burst(*seed) };
+                100.0 * run_with(&plan, 0).attainment_between(35, 60)
+            };
+            vec![
+                if *admission { "with admission" } else { "without" }.to_owned(),
+                spread(&SEEDS.map(|seed| overload_ratio(seed, *admission))),
+                spread(&SEEDS.iter().map(recovery).collect::<Vec<_>>()),
+                spread(&SEEDS.map(|seed| 100.0 * others_beside_greedy(seed, *admission))),
+            ]
+        })
+        .collect();
+    let headings = [
+        "",
+        "goodput at 2x / at 1x",
+        "attained % from 5 s after a burst",
+        "others beside a greedy customer %",
+    ];
+    table::print(&headings, &rows);
+}
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -14,7 +14,7 @@
 use crate::relay::Relay;
 
 /// Time for a bed to serve.
-const START_BOUND: Duration = Duration::from_secs(20);
+const START_BOUND: Duration = Duration::from_secs(60);
 
 /// One target with its agent.
 pub struct TargetPlace {
@@ -32,7 +32,8 @@
 pub struct Bed {
     binaries: Binaries,
     folder: PathBuf,
-    processes: BTreeMap<String, Process>,
+    /// Processes by name.
+    pub processes: BTreeMap<String, Process>,
     commands: BTreeMap<String, (PathBuf, Vec<String>)>,
     /// Targets in the order of the plan.
     pub targets: Vec<TargetPlace>,
@@ -80,8 +81,19 @@
         for pool in &plan.pools {
             for i in 0..pool.targets {
                 let name = format!("{}-{i}", pool.name);
-                let (target_addr, agent_addr) = (free_addr(), free_addr());
-                self.start_target(&name, pool, target_addr);
+                let agent_addr = free_addr();
+                let shared = self
+                    .targets
+                    .iter()
+                    .find(|target| plan.shared_targets && target.pool == pool.name);
+                let target_addr = match shared {
+                    Some(target) => target.target_addr,
+                    None => {
+                        let addr = free_addr();
+                        self.start_target(&name, pool, addr);
+                        addr
+                    }
+                };
                 self.start_agent(&name, pool.name, target_addr, agent_addr);
                 let relay = if plan.relays { Some(Relay::spawn(agent_addr).await) } else { None };
                 let addr = relay.as_ref().map_or(agent_addr, Relay::addr);
@@ -179,6 +191,9 @@
     }
 
     async fn wait_licences(&self) {
+        if !self.targets.iter().any(|target| target.pool == "receipts") {
+            return;
+        }
         let started = Instant::now();
         while started.elapsed() < START_BOUND {
             let answer = self.entries[0].record("record-receipt", "warm-up", Some("warm-up")).await;
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -55,8 +55,10 @@
     pub pipelines: &'static str,
     /// Whether relays stand before the agents.
     pub relays: bool,
-    /// Whether links use TLS with fresh keys.
-    pub tls: bool,
+    /// Customers beside the one that calls.
+    pub more_customers: usize,
+    /// Whether all targets of a pool are one stand-in.
+    pub shared_targets: bool,
 }
 
 /// Token of the one customer.
@@ -108,7 +110,8 @@
                 stages = [{ name = "look-up", pool = "receipts", path = "/v1/balance", idempotent = true }]
             "#,
             relays: false,
-            tls: false,
+            more_customers: 0,
+            shared_targets: false,
         }
     }
 
@@ -170,6 +173,10 @@
         text.push_str(self.pipelines);
         let token = digest::sha256_hex(CUSTOMER_TOKEN);
         let _ = writeln!(text, "\n[customer.stalls]\ntoken_sha256 = \"{token}\"\nweight = 2");
+        for i in 0..self.more_customers {
+            let token = digest::sha256_hex(&format!("{CUSTOMER_TOKEN}-{i}"));
+            let _ = writeln!(text, "[customer.stall-{i}]\ntoken_sha256 = \"{token}\"");
+        }
         text.push_str("[preset.ordinary]\n[preset.peak]\nretry_share = 0.02\n[preset.maintenance]\nconcurrency_scale = 0.5\n");
         text
     }
