--- a/crates/model/src/licence.rs
+++ b/crates/model/src/licence.rs
@@ -167,17 +167,40 @@
 
 /// Explores all states; `without` leaves one rule out, and the search ends at the first double run.
 pub fn explore(bounds: Bounds, without: Option<Rule>) -> Exploration {
+    explore_from(start(bounds), bounds, without)
+}
+
+fn explore_from(from: World, bounds: Bounds, without: Option<Rule>) -> Exploration {
     let steps = Steps { bounds, without };
     let is_violated = |world: &World| match without {
         Some(_) => world.ran.len() > 1,
         None => world.violation.is_some(),
     };
-    let reached =
-        search::breadth_first(start(bounds), |world| steps.successors(world), is_violated);
+    let reached = search::breadth_first(from, |world| steps.successors(world), is_violated);
     let violation = reached.found.map(|world| (reached.depth, world.violation.unwrap_or_default()));
     Exploration { states: reached.states, depth: reached.depth, violation }
 }
 
+/// Explores what follows once the second agent holds a quarantined licence of a key that ran at the first.
+///
+/// The state is the first such one that a search finds in which an entry died; `then` bounds what follows.
+pub fn explore_quarantined(then: Bounds, without: Option<Rule>) -> Exploration {
+    let before = Bounds { deaths: 1, epochs: 2, ..then };
+    let is_quarantined = |world: &World| {
+        let home = &world.agents[1];
+        let is_left = !home.holding.quarantine_left(home.clock).is_zero();
+        world.ran.len() == 1 && world.tries_left > 0 && is_left && home.holding.is_held(home.clock)
+    };
+    let steps = Steps { bounds: before, without };
+    let reached =
+        search::breadth_first(start(before), |world| steps.successors(world), is_quarantined);
+    let Some(mut from) = reached.found else {
+        return Exploration { states: reached.states, depth: reached.depth, violation: None };
+    };
+    from.deaths_left = then.deaths;
+    explore_from(from, then, without)
+}
+
 struct Steps {
     bounds: Bounds,
     without: Option<Rule>,
--- a/crates/model/tests/licence.rs
+++ b/crates/model/tests/licence.rs
@@ -1,6 +1,6 @@
 //! The licence protocol holds, and each rule of it is needed.
 
-use marigold_model::licence::{Bounds, Rule, explore};
+use marigold_model::licence::{Bounds, Rule, explore, explore_quarantined};
 
 /// Deaths of entries and agents, without pauses.
 const DEATHS: Bounds = Bounds {
@@ -77,9 +77,26 @@
     explore_without_teach: Teach in DEATHS,
     explore_without_seal_and_expiry: SealAndExpiry in Bounds { deaths: 0, ..DEATHS },
     explore_without_quarantine: Quarantine in DEATHS,
-    explore_without_keep_quarantine: KeepQuarantine in Bounds { epochs: 3, ..DEATHS },
     explore_without_drop: Drop in Bounds { pauses: true, ..DEATHS },
     explore_without_hand_over: HandOver in DEATHS,
     explore_without_proof: Proof in DEATHS,
     explore_without_release_last: ReleaseLast in Bounds { deaths: 1, ..RELEASES },
 }
+
+/// What follows a quarantine: one more death and one more taking.
+const AFTER_QUARANTINE: Bounds = Bounds { deaths: 1, epochs: 3, ..DEATHS };
+
+#[test]
+fn explore_after_quarantine() {
+    let found = explore_quarantined(AFTER_QUARANTINE, None);
+    println!("after a quarantine: {} states, depth {}", found.states, found.depth);
+    assert_eq!(found.violation, None);
+    assert!(found.states > 1_000, "only {} states: the bounds hide the protocol", found.states);
+}
+
+#[test]
+fn explore_without_keep_quarantine() {
+    let found = explore_quarantined(AFTER_QUARANTINE, Some(Rule::KeepQuarantine));
+    println!("without KeepQuarantine: {:?} after {} states", found.violation, found.states);
+    assert!(found.violation.is_some(), "nothing fails without the rule");
+}
