--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -63,7 +63,8 @@
     mut on_token: impl OnToken,
 ) -> Ended {
     let attempt = call.attempt;
-    let mut next_token = call.resume_from;
+    let first_token = call.resume_from;
+    let mut next_token = first_token;
     let incarnation = call.agent_incarnation;
     let is_idempotent = call.idempotent;
     handle.load.on_send();
@@ -73,7 +74,9 @@
         attempt: is_idempotent.then_some(attempt),
     };
     let mut ended = match handle.peer.stream(&Request::Call(call)).await {
-        Ok((link, replies)) => follow(link, replies, attempt, &mut next_token, &mut on_token).await,
+        Ok((link, replies)) => {
+            follow(link, replies, attempt, first_token, &mut next_token, &mut on_token).await
+        }
         Err(err) if err.is_before_send() => {
             tracing::debug!(%err, target = handle.name, "attempt not sent");
             Some(Ended::new(Outcome::not_run(NotRunCause::TargetRefused)))
@@ -96,7 +99,8 @@
         shared.metrics.settles.add(1, &[]);
         match handle.peer.stream(&Request::Settle(settle)).await {
             Ok((link, replies)) => {
-                ended = follow(link, replies, attempt, &mut next_token, &mut on_token).await
+                ended = follow(link, replies, attempt, first_token, &mut next_token, &mut on_token)
+                    .await
             }
             Err(err) => {
                 tracing::debug!(%err, target = handle.name, "attempt not settled yet");
@@ -113,11 +117,12 @@
     })
 }
 
-/// Follows the events of an attempt; none when the link was lost before the end.
+/// Follows the events of an attempt that began at `first_token`; none when the link was lost before the end.
 pub(crate) async fn follow(
     link: Link,
     mut replies: Replies,
     attempt: u64,
+    first_token: u32,
     next_token: &mut u32,
     on_token: &mut impl OnToken,
 ) -> Option<Ended> {
@@ -135,7 +140,15 @@
         bound = PROGRESS_BOUND;
         match reply {
             Reply::Event(CallEvent::Token(token)) => {
-                // A token that was already passed on, or does not join on, is dropped.
+                if token.index > *next_token {
+                    tracing::warn!(
+                        attempt,
+                        index = token.index,
+                        "tokens of an attempt are missing"
+                    );
+                    return None;
+                }
+                // A token that was already passed on is dropped.
                 if token.index == *next_token {
                     *next_token += 1;
                     on_token(token.index, token.text);
@@ -149,6 +162,10 @@
                 return None;
             }
             Reply::Event(CallEvent::Started(_) | CallEvent::Progress(_)) => {}
+            Reply::Event(CallEvent::Done(done)) if *next_token < first_token + done.tokens => {
+                tracing::warn!(attempt, "last tokens of an attempt are missing");
+                return None;
+            }
             Reply::Event(event) => {
                 let replayed = matches!(&event, CallEvent::Done(done) if done.replayed);
                 let outcome = Outcome::try_from(event)
--- a/crates/entry/src/homes.rs
+++ b/crates/entry/src/homes.rs
@@ -158,7 +158,7 @@
             Err(err) if err.is_before_send() => continue,
             Err(_) => return Some(forward_lost()),
         };
-        match attempt::follow(link, replies, attempt, &mut 0, &mut |_, _| {}).await {
+        match attempt::follow(link, replies, attempt, 0, &mut 0, &mut |_, _| {}).await {
             Some(ended) if is_elsewhere(&ended.outcome) => {}
             Some(ended) => return Some(ended),
             None => return Some(forward_lost()),
--- a/crates/marigold/src/bin/marigold-load.rs
+++ b/crates/marigold/src/bin/marigold-load.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context as _;
 use bpaf::Bpaf;
-use marigold::measure::{capacity, overhead, policy};
+use marigold::measure::{capacity, overhead, policy, recovery};
 use marigold_load::drive::Driver;
 use marigold_load::experiment::Experiment;
 use marigold_load::{arrivals, plot, report};
@@ -54,6 +54,22 @@
         #[bpaf(argument("FOLDER"), fallback("target/release".into()))]
         binaries: PathBuf,
     },
+    /// Measure how long recovery takes, and how hard it calls the platform
+    #[bpaf(command)]
+    Recovery {
+        /// Entries
+        #[bpaf(argument("N"), fallback(3), display_fallback)]
+        entries: usize,
+        /// Targets of the larger pool
+        #[bpaf(argument("N"), fallback(100), display_fallback)]
+        targets: usize,
+        /// Length of the platform's outage in seconds
+        #[bpaf(argument("S"), fallback(60), display_fallback)]
+        outage_s: u64,
+        /// Folder with the binaries
+        #[bpaf(argument("FOLDER"), fallback("target/release".into()))]
+        binaries: PathBuf,
+    },
     /// Measure the slopes of the control path
     #[bpaf(command)]
     Capacity {
@@ -117,6 +133,10 @@
             })
             .await
         }
+        Options::Recovery { entries, targets, outage_s, binaries } => {
+            let outage = Duration::from_secs(outage_s);
+            recovery::run(&recovery::Options { binaries, entries, targets, outage }).await
+        }
         Options::Capacity { length_s, binaries } => {
             capacity::run(&capacity::Options { binaries, length: Duration::from_secs(length_s) })
                 .await
--- a/crates/marigold/src/measure.rs
+++ b/crates/marigold/src/measure.rs
@@ -4,4 +4,5 @@
 pub mod overhead;
 pub mod policy;
 mod proc;
+pub mod recovery;
 mod slope;
--- /dev/null
+++ b/crates/marigold/src/measure/recovery.rs
@@ -0,0 +1,122 @@
+//! Recovery: how long until all serve again after losses, and how hard the platform is called then.
+
+use std::time::{Duration, Instant};
+
+use marigold_testbed::bed::Bed;
+use marigold_testbed::plan::{Binaries, Plan};
+use serde_json::{Value, json};
+
+use crate::table;
+
+/// Options of the measurement.
+pub struct Options {
+    /// Folder with the binaries.
+    pub binaries: std::path::PathBuf,
+    /// Entries of the bed.
+    pub entries: usize,
+    /// Targets of the idempotent pool; the pool with keys has a fifth of that.
+    pub targets: usize,
+    /// Length of the platform's outage.
+    pub outage: Duration,
+}
+
+/// Reads and writes of the platform so far, and the most in one second.
+async fn counts(bed: &Bed) -> anyhow::Result<(u64, u64)> {
+    let counts: Value =
+        reqwest::get(format!("http://{}/counts", bed.platform)).await?.json().await?;
+    let sum = counts["reads"].as_u64().unwrap_or(0) + counts["writes"].as_u64().unwrap_or(0);
+    Ok((sum, counts["peak_per_s"].as_u64().unwrap_or(0)))
+}
+
+async fn measure(
+    bed: &Bed,
+    failure: &str,
+    rows: &mut Vec<Vec<String>>,
+    calls_before: u64,
+) -> anyhow::Result<()> {
+    let started = Instant::now();
+    bed.wait_ready().await;
+    let took = started.elapsed();
+    let (calls, peak) = counts(bed).await?;
+    rows.push(vec![
+        failure.to_owned(),
+        format!("{:.2}", took.as_secs_f64()),
+        (calls - calls_before).to_string(),
+        peak.to_string(),
+    ]);
+    Ok(())
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+/// A platform that cannot be asked.
+pub async fn run(options: &Options) -> anyhow::Result<()> {
+    let at = |name: &str| options.binaries.join(name);
+    let binaries = Binaries {
+        entry: at("marigold-entry"),
+        agent: at("marigold-agent"),
+        standin: at("marigold-standin"),
+    };
+    let mut plan = Plan::small();
+    plan.entries = options.entries;
+    plan.shared_targets = true;
+    plan.pools.retain(|pool| matches!(pool.name, "encoders" | "receipts"));
+    for pool in &mut plan.pools {
+        pool.targets = if pool.name == "receipts" { options.targets / 5 } else { options.targets };
+    }
+    plan.pipelines = r#"
+        [pipeline.embed]
+        deadline_ms = 2000
+        stages = [{ name = "encode", pool = "encoders" }]
+        [pipeline.record-receipt]
+        deadline_ms = 5000
+        stages = [{ name = "record", pool = "receipts", path = "/v1/record" }]
+    "#;
+    let mut rows = Vec::new();
+    let mut bed = Bed::start(binaries, &plan, "recovery").await;
+    rows.push(vec![
+        "start of all".to_owned(),
+        "-".to_owned(),
+        counts(&bed).await?.0.to_string(),
+        counts(&bed).await?.1.to_string(),
+    ]);
+
+    let (before, _) = counts(&bed).await?;
+    let agents: Vec<String> =
+        bed.processes.keys().filter(|name| name.starts_with("agent-")).cloned().collect();
+    for name in agents.iter().step_by(10) {
+        bed.process(name).kill();
+        bed.restart(name);
+    }
+    bed.process("entry-0").kill();
+    bed.restart("entry-0");
+    measure(&bed, "a tenth of the agents and an entry killed at once", &mut rows, before).await?;
+
+    let (before, _) = counts(&bed).await?;
+    for i in 0..options.entries {
+        let name = format!("entry-{i}");
+        bed.process(&name).kill();
+        bed.restart(&name);
+    }
+    measure(&bed, "all entries killed at once", &mut rows, before).await?;
+
+    bed.set_faults(bed.platform, &json!({ "down": true })).await;
+    tokio::time::sleep(options.outage).await;
+    let (before, _) = counts(&bed).await?;
+    bed.set_faults(bed.platform, &json!({})).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    measure(&bed, "platform back after its outage, 10 s on", &mut rows, before).await?;
+
+    println!(
+        "{} entries, {} agents, platform outage of {:?}\n",
+        options.entries,
+        agents.len(),
+        options.outage
+    );
+    table::print(
+        &["failure", "s until all serve", "platform calls", "most in a second so far"],
+        &rows,
+    );
+    Ok(())
+}
--- a/crates/marigold/tests/failure_matrix.rs
+++ b/crates/marigold/tests/failure_matrix.rs
@@ -418,3 +418,55 @@
     }
     by_target
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_entries_not_enrolled() {
+    // Beyond 8 entries, each target has links to some of them only; the others pass keyed calls on.
+    let bed = bed(&Plan::receipts(10), "ten-entries").await;
+    let ends = spawn_traffic(bed.entries.clone(), 200, Duration::from_secs(4)).await.unwrap();
+    let first_tries = ends.values().filter(|answers| answers[0].is_done()).count();
+    let counted = assert_at_most_once(&bed, &ends).await;
+    assert_eq!(first_tries, 200, "{counted}");
+    let again = bed.entries[9].record("record-receipt", "op-0", Some("op-0")).await;
+    assert_eq!(again.body["replayed"], true, "{again:?}");
+    row("at most once", "10 entries, most not enrolled with the key's home", &counted);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_goes_on_store_slow() {
+    let bed = bed(&Plan::receipts(2), "store-slow").await;
+    bed.set_faults(bed.platform, &json!({ "slow_ms": 1500 })).await;
+    let ends = spawn_traffic(bed.entries.clone(), 100, Duration::from_secs(3)).await.unwrap();
+    let first_tries = ends.values().filter(|answers| answers[0].is_done()).count();
+    assert_eq!(first_tries, ends.len(), "first tries with a slow store");
+    let (base, _) = revision_of(&bed.entries[0]).await;
+    let started = Instant::now();
+    let changed =
+        bed.entries[0].operate(Method::PUT, &format!("preset/peak?base={base}"), None).await;
+    assert_eq!(changed.status, 200, "{changed:?}");
+    assert_eq!(revision_of(&bed.entries[1]).await.1, "peak");
+    row(
+        "service goes on without the store",
+        "each store call takes 1.5 s",
+        &format!("100 of 100 first tries; a change in force after {:.1?}", started.elapsed()),
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_word_lost() {
+    // The agent dies without a word: no report comes any more.
+    let mut bed = bed(&Plan::receipts(1), "word-lost").await;
+    bed.process("agent-receipts-0").kill();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let started = Instant::now();
+    for i in 0..20 {
+        let answer = bed.entries[0].record("record-receipt", &format!("unkeyed-{i}"), None).await;
+        assert!(answer.is_done(), "{answer:?}");
+    }
+    assert!(started.elapsed() < Duration::from_secs(4), "calls wait for a dead target");
+    row(
+        "a leaving target gets no new work",
+        "an agent killed without a word",
+        "20 of 20 calls elsewhere",
+    );
+}
--- a/crates/model/src/licence.rs
+++ b/crates/model/src/licence.rs
@@ -183,13 +183,19 @@
 
 /// Explores what follows once the second agent holds a quarantined licence of a key that ran at the first.
 ///
-/// The state is the first such one that a search finds in which an entry died; `then` bounds what follows.
+/// The state is the first such one that a search finds in which no entry knows the key any more; `then` bounds what
+/// follows.
 pub fn explore_quarantined(then: Bounds, without: Option<Rule>) -> Exploration {
     let before = Bounds { deaths: 1, epochs: 2, ..then };
     let is_quarantined = |world: &World| {
         let home = &world.agents[1];
         let is_left = !home.holding.quarantine_left(home.clock).is_zero();
-        world.ran.len() == 1 && world.tries_left > 0 && is_left && home.holding.is_held(home.clock)
+        let nobody_knows = world.entries.iter().all(|entry| entry.sent.is_empty());
+        world.ran.len() == 1
+            && nobody_knows
+            && world.tries_left > 0
+            && is_left
+            && home.holding.is_held(home.clock)
     };
     let steps = Steps { bounds: before, without };
     let reached =
