An entry without a link to a key's home passes the call to one that is likely enrolled

Ruled out: links from every entry to every keyed target (12,000 x 330 links at the target size). Rendezvous hashing tells who links to the agents that are first in line, and the roll is ranked by the same score, so the call goes there; the entry that takes it looks for the home itself.

--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -92,7 +92,7 @@
         let mut ranked: Vec<&Member> = live.map(|(member, _)| member).collect();
         let target = &self.settings.target;
         ranked.sort_by_cached_key(|member| {
-            std::cmp::Reverse(rendezvous::score(target, &member.name))
+            std::cmp::Reverse(rendezvous::score(target, &member.address))
         });
         ranked.into_iter().take(MAX_ROLL).cloned().collect()
     }
--- a/crates/entry/src/homes.rs
+++ b/crates/entry/src/homes.rs
@@ -1,11 +1,10 @@
 //! Keyed calls: sent to the home of the key's shard under its licence, by this entry or one that is enrolled.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use marigold_core::digest;
-use marigold_core::ids::{KeyDigest, Shard};
+use marigold_core::ids::{KeyDigest, Name, Shard};
 use marigold_core::outcome::{NotRunCause, Outcome};
 use marigold_core::rendezvous;
 use marigold_core::sent::ShardKey;
@@ -14,7 +13,7 @@
 
 use crate::attempt::{self, Ended};
 use crate::state::Shared;
-use crate::targets::TargetHandle;
+use crate::targets::{self, LINKS_PER_TARGET, TargetHandle};
 
 /// Time between looks for the home of a key.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -25,12 +24,14 @@
 /// Time between two such requests.
 const HINT_EVERY: Duration = Duration::from_secs(1);
 /// Peers that are asked to pass a call on.
-const FORWARD_PEERS: usize = 3;
+const FORWARD_PEERS: usize = 4;
+/// Agents, first in line for a shard, whose entries are asked when no home is known.
+const LIKELY_HOMES: usize = 2;
 
 /// How a keyed call ended.
 pub(crate) enum KeyedEnd {
     /// The home answered for the key.
-    Home(Ended, Arc<str>),
+    Home(Ended, Name),
     /// No home could be heard: the try did not run, and the key's state is unknown.
     NoHome,
 }
@@ -79,22 +80,11 @@
     let mut hinted_at: Option<Duration> = None;
     while shared.now() < started + HOME_WAIT {
         let home = find_home(shared, &pool.name, key.shard);
+        if let Some((ended, peer)) = try_once(shared, pool, key, home.as_ref(), call).await {
+            return KeyedEnd::Home(ended, peer);
+        }
         if let Some(home) = &home {
-            let tried = if home.enrolled && home.handle.is_usable(shared.now()) {
-                send_home(shared, &pool.name, key, home, call.clone()).await
-            } else {
-                None
-            };
-            let ended = match tried {
-                Some(ended) => Some(ended),
-                None => forward(shared, key, home, call).await,
-            };
-            match ended {
-                Some(ended) if !is_elsewhere(&ended.outcome) => {
-                    return KeyedEnd::Home(ended, home.handle.name.as_str().into());
-                }
-                _ => home.handle.beat_now.notify_one(),
-            }
+            home.handle.beat_now.notify_one();
         }
         let waited = shared.now().saturating_sub(started);
         if waited > HINT_AFTER && hinted_at.is_none_or(|at| shared.now() > at + HINT_EVERY) {
@@ -106,6 +96,42 @@
     KeyedEnd::NoHome
 }
 
+/// One try, from here or through an enrolled entry; none when the home could not be heard.
+async fn try_once(
+    shared: &Arc<Shared>,
+    pool: &PoolView,
+    key: &Key,
+    home: Option<&Home>,
+    call: &Call,
+) -> Option<(Ended, Name)> {
+    if let Some(home) = home.filter(|home| home.enrolled && home.handle.is_usable(shared.now())) {
+        let ended = send_home(shared, &pool.name, key, home, call.clone()).await?;
+        if !is_elsewhere(&ended.outcome) {
+            return Some((ended, home.handle.name.clone()));
+        }
+    }
+    let via = match home {
+        Some(home) if !home.via.is_empty() => home.via.clone(),
+        _ => likely_enrolled(shared, pool, key.shard),
+    };
+    forward(shared, pool, key, &via, call).await
+}
+
+/// Entries that link to the agents that are first in line for a shard.
+fn likely_enrolled(shared: &Shared, pool: &PoolView, shard: Shard) -> Vec<String> {
+    let entries = targets::entry_addresses(shared);
+    let ranked = rendezvous::rank(&format!("{}/{shard}", pool.name), pool.targets.keys());
+    let mut likely = Vec::new();
+    for target in ranked.into_iter().take(LIKELY_HOMES) {
+        let linked = entries
+            .iter()
+            .filter(|entry| rendezvous::is_linked(target, entry, &entries, LINKS_PER_TARGET));
+        likely.extend(linked.filter(|entry| **entry != shared.member.address).cloned());
+    }
+    likely.dedup();
+    likely
+}
+
 /// Sends a keyed call under a licence; none when the licence was sealed here.
 async fn send_home(
     shared: &Arc<Shared>,
@@ -119,12 +145,7 @@
     call.attempt = shared.attempt_id();
     call.sender = shared.member.clone().into();
     call.agent_incarnation = home.handle.report.load().as_ref()?.incarnation;
-    call.key = Some(KeyRef {
-        digest: digest::to_wire(key.digest),
-        shard: key.shard,
-        epoch: home.epoch,
-        body_digest: key.body_digest.clone(),
-    });
+    call.key = Some(key_ref(key, home.epoch));
     let ended = attempt::run(shared, &home.handle, call, |_, _| {}).await;
     if matches!(ended.outcome, Outcome::NotRun { .. }) {
         shared.sent.lock().retract(&shard_key, key.digest);
@@ -132,63 +153,63 @@
     Some(ended)
 }
 
-/// Passes a keyed call on to an entry that is enrolled with the home.
-async fn forward(shared: &Arc<Shared>, key: &Key, home: &Home, call: &Call) -> Option<Ended> {
-    let named = home.via.iter().filter_map(|address| address.parse::<SocketAddr>().ok());
-    let mut addrs: Vec<SocketAddr> =
-        named.filter(|addr| addr.to_string() != shared.member.address).collect();
-    if addrs.is_empty() {
-        addrs.extend(shared.peers.iter().map(|peer| peer.addr()));
-    }
-    for addr in addrs.into_iter().take(FORWARD_PEERS) {
-        let Some(peer) = shared.peers.iter().find(|peer| peer.addr() == addr) else { continue };
+/// Passes a keyed call on to entries that may be enrolled with the home, one after the other.
+async fn forward(
+    shared: &Arc<Shared>,
+    pool: &PoolView,
+    key: &Key,
+    via: &[String],
+    call: &Call,
+) -> Option<(Ended, Name)> {
+    let peers = via
+        .iter()
+        .filter_map(|address| shared.peers.iter().find(|peer| peer.addr().to_string() == *address));
+    for peer in peers.take(FORWARD_PEERS) {
         let mut call = call.clone();
         call.attempt = shared.attempt_id();
         let attempt = call.attempt;
-        call.key = Some(KeyRef {
-            digest: digest::to_wire(key.digest),
-            shard: key.shard,
-            epoch: home.epoch,
-            body_digest: key.body_digest.clone(),
-        });
-        let req =
-            Request::Forward(Forward { shard: key.shard, target: home.handle.name.clone(), call });
-        let (link, replies) = match peer.stream(&req).await {
+        call.key = Some(key_ref(key, 0));
+        let forward = Forward { pool: pool.name.clone(), shard: key.shard, call };
+        let name = peer.addr().to_string();
+        let (link, replies) = match peer.stream(&Request::Forward(forward)).await {
             Ok(opened) => opened,
             Err(err) if err.is_before_send() => continue,
-            Err(_) => return Some(forward_lost()),
+            Err(_) => return Some((forward_lost(), name)),
         };
         match attempt::follow(link, replies, attempt, 0, &mut 0, &mut |_, _| {}).await {
             Some(ended) if is_elsewhere(&ended.outcome) => {}
-            Some(ended) => return Some(ended),
-            None => return Some(forward_lost()),
+            Some(ended) => return Some((ended, name)),
+            None => return Some((forward_lost(), name)),
         }
     }
     None
 }
 
+fn key_ref(key: &Key, epoch: u64) -> KeyRef {
+    KeyRef {
+        digest: digest::to_wire(key.digest),
+        shard: key.shard,
+        epoch,
+        body_digest: key.body_digest.clone(),
+    }
+}
+
 fn forward_lost() -> Ended {
     let reason = "the entry that passed the call on does not answer".to_owned();
     Ended { outcome: Outcome::Unknown(reason), replayed: false }
 }
 
-/// Serves a call passed on by another entry: one try at the named home.
+/// Serves a call passed on by another entry: one try at the home, if this entry is enrolled with it.
 pub(crate) async fn run_forwarded(shared: &Arc<Shared>, forward: Forward) -> Ended {
     let not_enrolled =
         Ended { outcome: Outcome::not_run(NotRunCause::NotEnrolled), replayed: false };
-    let handle = shared.targets.load().get(&forward.target).cloned();
-    let (Some(handle), Some(key_ref)) = (handle, forward.call.key.clone()) else {
-        return not_enrolled;
-    };
+    let Some(key_ref) = forward.call.key.clone() else { return not_enrolled };
     let Some(digest) = digest::from_wire(&key_ref.digest) else { return not_enrolled };
-    let Some((epoch, true, _)) = handle.offer(forward.shard) else { return not_enrolled };
-    if !handle.is_usable(shared.now()) {
-        return not_enrolled;
-    }
+    let home = find_home(shared, &forward.pool, forward.shard);
+    let usable = home.filter(|home| home.enrolled && home.handle.is_usable(shared.now()));
+    let Some(home) = usable else { return not_enrolled };
     let key = Key { digest, shard: forward.shard, body_digest: key_ref.body_digest };
-    let pool = handle.pool.clone();
-    let home = Home { handle, epoch, enrolled: true, via: Vec::new() };
-    send_home(shared, &pool, &key, &home, forward.call).await.unwrap_or(not_enrolled)
+    send_home(shared, &forward.pool, &key, &home, forward.call).await.unwrap_or(not_enrolled)
 }
 
 /// Asks the best live agent to take the licence of a shard without a reachable home.
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -20,7 +20,7 @@
 use crate::state::{PoolState, Shared, Targets};
 
 /// Entries that link to each target.
-const LINKS_PER_TARGET: usize = 3;
+pub(crate) const LINKS_PER_TARGET: usize = 3;
 /// Targets of each pool that each entry links to at least.
 const LINKS_PER_POOL: usize = 2;
 /// Entries up to which all link to all targets.
@@ -137,6 +137,12 @@
     }
 }
 
+/// Link addresses of all entries, by which rendezvous hashing knows them.
+pub(crate) fn entry_addresses(shared: &Shared) -> Vec<String> {
+    let peers = shared.peers.iter().map(|peer| peer.addr().to_string());
+    peers.chain([shared.member.address.clone()]).collect()
+}
+
 /// Names of the targets that an entry links to.
 fn linked_targets<'a>(own: &str, entries: &[String], pool: &'a PoolView) -> Vec<&'a Name> {
     if entries.len() <= FULL_MESH_ENTRIES {
@@ -165,8 +171,7 @@
         known.iter().for_each(|(name, handle)| handle.set_leaving(view.draining.contains(name)));
         return;
     }
-    let peers = shared.peers.iter().map(|peer| peer.addr().to_string());
-    let entries: Vec<String> = peers.chain([shared.member.address.clone()]).collect();
+    let entries = entry_addresses(shared);
     let mut targets = Targets::new();
     for pool in view.pools.values() {
         if is_same(pool) {
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -480,19 +480,19 @@
 ///  "type": "object",
 ///  "required": [
 ///    "call",
-///    "shard",
-///    "target"
+///    "pool",
+///    "shard"
 ///  ],
 ///  "properties": {
 ///    "call": {
 ///      "$ref": "#/definitions/Call"
 ///    },
+///    "pool": {
+///      "type": "string"
+///    },
 ///    "shard": {
 ///      "type": "integer",
 ///      "format": "uint16"
-///    },
-///    "target": {
-///      "type": "string"
 ///    }
 ///  }
 ///}
@@ -501,8 +501,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Forward {
     pub call: Call,
+    pub pool: ::std::string::String,
     pub shard: u16,
-    pub target: ::std::string::String,
 }
 ///Sent by an entry on each of its links to agents.
 ///
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -16,6 +16,9 @@
 /// Time for a bed to serve.
 const START_BOUND: Duration = Duration::from_secs(60);
 
+/// Entries up to which each links to all targets.
+const FULL_MESH_ENTRIES: usize = 8;
+
 /// One target with its agent.
 pub struct TargetPlace {
     /// Name of the target.
@@ -177,8 +180,11 @@
     /// Waits until every entry is ready and sees every target as usable.
     pub async fn wait_ready(&self) {
         let started = Instant::now();
+        // Beyond a full mesh, an entry links to two targets of each pool at least.
+        let is_full_mesh = self.entries.len() <= FULL_MESH_ENTRIES;
+        let targets = if is_full_mesh { self.targets.len() } else { 1 };
         for entry in &self.entries {
-            while !is_whole(entry, self.targets.len()).await {
+            while !is_whole(entry, targets).await {
                 assert!(
                     started.elapsed() < START_BOUND,
                     "the bed does not get ready; logs in {}",
@@ -266,14 +272,15 @@
     }
 }
 
+/// Whether an entry is ready and can use every target that it links to, at least `targets` of them.
 async fn is_whole(entry: &EntryClient, targets: usize) -> bool {
     if entry.get("/ready").await.status != 200 {
         return false;
     }
     let status = entry.operate(reqwest::Method::GET, "status", None).await;
     let lines = status.body["targets"].as_array().cloned().unwrap_or_default();
-    lines.iter().filter(|line| line["usable"] == true && line["in_force"] == true).count()
-        == targets
+    lines.len() >= targets
+        && lines.iter().all(|line| line["usable"] == true && line["in_force"] == true)
 }
 
 /// Waits until something listens on an address.
