A change made from a revision before the history is refused, and the history keeps its bound

Cause: conflicts were looked for in the history alone, so a change made from a revision that the history had dropped overwrote a newer one unseen; and the history kept its last entry whatever its size (1 MB after a first apply of 4,700 customers, in every entry's memory).

Ruled out: a longer history (it only moves the gap).

Figures: tests conflict_base_before_history and history_drops_a_change_larger_than_its_bound; the head stays below 64 KiB.

Conclusion: the operator is told to read the configuration again.

--- a/crates/core/src/head.rs
+++ b/crates/core/src/head.rs
@@ -57,6 +57,8 @@
 pub struct Proposal {
     /// Head to write conditionally.
     pub head: Head,
+    /// Items of that head.
+    pub items: Items,
     /// Buckets to write first, by hash.
     pub buckets: BTreeMap<String, String>,
     /// Buckets that no reader needs any more once the head is written.
@@ -118,22 +120,75 @@
         history.push(HistoryEntry { revision, by: by.to_owned(), changes, replaced });
         let garbage = trim_history(&mut history);
         let garbage = garbage.into_iter().filter(|hash| !hashes.contains(hash)).collect();
-        Proposal { head: Head { revision, buckets: hashes, history }, buckets, garbage }
+        Proposal {
+            head: Head { revision, buckets: hashes, history },
+            items: next_items,
+            buckets,
+            garbage,
+        }
     }
 
     /// Changes after `from`, when the history reaches back that far.
     pub fn delta(&self, from: Revision, as_of_ms: u64) -> Option<messages::Delta> {
-        let reach = self.history.first().map_or(self.revision, |entry| entry.revision - 1);
-        (from >= reach).then(|| delta_of(&self.history, from, self.revision, as_of_ms))
+        (from >= self.reach()).then(|| delta_of(&self.history, from, self.revision, as_of_ms))
+    }
+
+    /// Whether changes made from revision `base` collide with what came after it.
+    ///
+    /// # Errors
+    /// [`Conflict`] when another change of an item came first, or when the history does not reach back to `base`.
+    pub fn check_conflicts(
+        &self,
+        base: Revision,
+        changes: &[ItemChange],
+    ) -> std::result::Result<(), Conflict> {
+        if base < self.reach() {
+            return Err(Conflict::TooOld { base, reach: self.reach() });
+        }
+        let newer = || self.history.iter().rev().take_while(|entry| entry.revision > base);
+        for (key, value) in changes {
+            let touching = |entry: &&HistoryEntry| entry.changes.iter().any(|(k, _)| k == key);
+            let Some(entry) = newer().find(touching) else { continue };
+            let is_same = entry.changes.iter().any(|(k, v)| k == key && v == value);
+            if !is_same {
+                let (revision, by) = (entry.revision, entry.by.clone());
+                return Err(Conflict::Item { key: key.clone(), revision, by });
+            }
+        }
+        Ok(())
     }
 
-    /// Who changed an item last after `since`, as far as the history reaches.
-    pub fn last_change_of(&self, key: &str, since: Revision) -> Option<&HistoryEntry> {
-        let newer = self.history.iter().rev().take_while(|entry| entry.revision > since);
-        newer.into_iter().find(|entry| entry.changes.iter().any(|(changed, _)| changed == key))
+    /// Oldest revision from which the history tells all changes.
+    fn reach(&self) -> Revision {
+        self.history.first().map_or(self.revision, |entry| entry.revision - 1)
     }
 }
 
+/// Why a change may not be made from an older revision.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Conflict {
+    /// Someone else changed the item.
+    #[error("`{key}` was changed in revision {revision} by {by}; read the configuration again")]
+    Item {
+        /// Key of the item.
+        key: String,
+        /// Revision of the other change.
+        revision: Revision,
+        /// Who made it.
+        by: String,
+    },
+    /// It cannot be told any more what changed.
+    #[error(
+        "revision {base} is too old, changes are known since {reach}; read the configuration again"
+    )]
+    TooOld {
+        /// Revision that the change was made from.
+        base: Revision,
+        /// Oldest revision that still can be used.
+        reach: Revision,
+    },
+}
+
 /// Drops the oldest entries past the bounds and returns the buckets that they had replaced.
 fn trim_history(history: &mut Vec<HistoryEntry>) -> Vec<String> {
     let size = |entry: &HistoryEntry| -> usize {
@@ -145,7 +200,7 @@
     };
     let mut bytes: usize = history.iter().map(size).sum();
     let mut garbage = Vec::new();
-    while history.len() > 1 && (history.len() > HISTORY_REVISIONS || bytes > HISTORY_BYTES) {
+    while !history.is_empty() && (history.len() > HISTORY_REVISIONS || bytes > HISTORY_BYTES) {
         let entry = history.remove(0);
         bytes -= size(&entry);
         garbage.extend(entry.replaced);
--- a/crates/core/tests/head.rs
+++ b/crates/core/tests/head.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use marigold_core::head::{self, Adoption, Head, ItemChange, Items, Replica};
+use marigold_core::head::{self, Adoption, Conflict, Head, ItemChange, Items, Replica};
 use proptest::prelude::*;
 
 fn change() -> impl Strategy<Value = ItemChange> {
@@ -70,14 +70,42 @@
     }
 }
 
+fn preset(value: &str) -> Vec<ItemChange> {
+    vec![("in_force/preset".to_owned(), Some(value.to_owned()))]
+}
+
 #[test]
-fn last_change_names_winner() {
-    let change = |value: &str| vec![("in_force/preset".to_owned(), Some(value.to_owned()))];
-    let first = Head::default().propose(&Items::new(), change("ordinary"), "one").head;
-    let second = first.propose(&Items::new(), change("peak"), "two").head;
+fn conflict_names_winner() {
+    let first = Head::default().propose(&Items::new(), preset("ordinary"), "one").head;
+    let second = first.propose(&Items::new(), preset("peak"), "two").head;
+    let conflict = second.check_conflicts(1, &preset("maintenance")).unwrap_err();
     assert_eq!(
-        second.last_change_of("in_force/preset", 1).map(|entry| entry.by.as_str()),
-        Some("two")
+        conflict,
+        Conflict::Item { key: "in_force/preset".to_owned(), revision: 2, by: "two".to_owned() }
     );
-    assert_eq!(second.last_change_of("in_force/preset", 2), None);
+    assert_eq!(second.check_conflicts(1, &preset("peak")), Ok(()), "the same change again");
+    assert_eq!(second.check_conflicts(2, &preset("maintenance")), Ok(()));
+}
+
+#[test]
+fn conflict_base_before_history() {
+    let mut head = Head::default();
+    let total = head::HISTORY_REVISIONS as u64 + 10;
+    for i in 0..total {
+        let change = vec![(format!("customer/{i}"), Some("{}".to_owned()))];
+        head = head.propose(&Items::new(), change, "one").head;
+    }
+    // Customer 0 was changed in revision 1, which the history does not tell any more.
+    let stale = vec![("customer/0".to_owned(), Some("{\"weight\":2}".to_owned()))];
+    assert_eq!(head.check_conflicts(0, &stale), Err(Conflict::TooOld { base: 0, reach: 10 }));
+    assert_eq!(head.check_conflicts(10, &stale), Ok(()));
+}
+
+#[test]
+fn history_drops_a_change_larger_than_its_bound() {
+    let large = (0..2_000).map(|i| (format!("customer/{i}"), Some("x".repeat(100)))).collect();
+    let head = Head::default().propose(&Items::new(), large, "one").head;
+    assert!(head.history.is_empty());
+    assert_eq!(head.delta(0, 0), None, "a reader that lacks the change takes the buckets");
+    assert!(serde_json::to_string(&head).unwrap().len() < head::HISTORY_BYTES);
 }
--- a/crates/entry/src/api/operators.rs
+++ b/crates/entry/src/api/operators.rs
@@ -145,11 +145,8 @@
 
 fn problem_of(rejected: Rejected) -> Problem {
     match rejected {
-        Rejected::Conflict { key, revision, by } => {
-            let detail = format!(
-                "`{key}` was changed in revision {revision} by {by}; read the configuration again"
-            );
-            Problem::refused(409, "Another change came first", detail)
+        Rejected::Conflict(conflict) => {
+            Problem::refused(409, "Another change came first", conflict.to_string())
         }
         Rejected::Invalid(mistakes) => {
             Problem::refused(422, "The result would not be valid", mistakes.join("; "))
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -52,8 +52,8 @@
 /// Why a change is not in force.
 #[derive(Debug)]
 pub(crate) enum Rejected {
-    /// An item was changed by someone else since the base revision.
-    Conflict { key: String, revision: Revision, by: String },
+    /// Another change came first.
+    Conflict(head::Conflict),
     /// The result would not be valid.
     Invalid(Vec<String>),
     /// The platform cannot be reached; the change did not take effect.
@@ -306,7 +306,7 @@
     for _ in 0..ACCEPT_TRIES {
         let (version, head) = read_head(shared).await?;
         catch_up(shared, &head).await?;
-        check_conflicts(&head, base, &changes)?;
+        head.check_conflicts(base, &changes).map_err(Rejected::Conflict)?;
         let items = {
             let replica = shared.replica.lock();
             if replica.revision != head.revision {
@@ -341,8 +341,9 @@
 
 async fn finish_accept(shared: &Arc<Shared>, from: Revision, proposal: head::Proposal) -> Accepted {
     let revision = proposal.head.revision;
-    if let Some(delta) = proposal.head.delta(from, 0) {
-        adopt(shared, &delta);
+    match proposal.head.delta(from, 0) {
+        Some(delta) => drop(adopt(shared, &delta)),
+        None => adopt_whole(shared, revision, proposal.items),
     }
     let confirmed = spread::push(shared, from, revision).await + 1;
     let collector = shared.clone();
@@ -356,21 +357,6 @@
     Accepted { revision, confirmed, entries: shared.peers.len() + 1 }
 }
 
-fn check_conflicts(head: &Head, base: Revision, changes: &[ItemChange]) -> Result<(), Rejected> {
-    for (key, value) in changes {
-        let Some(entry) = head.last_change_of(key, base) else { continue };
-        let is_same = entry.changes.iter().any(|(changed, new)| changed == key && new == value);
-        if !is_same {
-            return Err(Rejected::Conflict {
-                key: key.clone(),
-                revision: entry.revision,
-                by: entry.by.clone(),
-            });
-        }
-    }
-    Ok(())
-}
-
 fn check_result(items: &Items, changes: &[ItemChange]) -> Result<(), Rejected> {
     let mut items = items.clone();
     head::apply(&mut items, changes.iter().cloned());
