--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -248,7 +248,12 @@
     let is_engine = slice.as_ref().is_some_and(|slice| slice.engine);
     let deadline = Duration::from_millis(call.deadline_ms);
     let timeout = if call.idempotent { deadline.min(MAX_CALL) } else { MAX_CALL };
-    let target_call = TargetCall { path: call.path.clone(), body: call.body.clone(), timeout };
+    let target_call = TargetCall {
+        path: call.path.clone(),
+        body: call.body.clone(),
+        timeout,
+        idempotent: call.idempotent,
+    };
     let work = async {
         if is_engine {
             shared.target.generate(&target_call, |token| feed.push(token)).await
--- a/crates/agent/src/target.rs
+++ b/crates/agent/src/target.rs
@@ -9,6 +9,8 @@
 
 /// Time for opening a connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an unused connection to the target is closed.
+const POOL_IDLE: Duration = Duration::from_secs(10);
 /// Longest call that may not be cut.
 pub const MAX_CALL: Duration = Duration::from_secs(300);
 /// Largest answer of a target, in bytes.
@@ -23,6 +25,8 @@
     pub body: String,
     /// Time after which the call is given up.
     pub timeout: Duration,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
 }
 
 /// A target as the agent sees it.
@@ -44,7 +48,10 @@
 /// A target that speaks HTTP.
 pub struct HttpTarget {
     base: String,
-    client: reqwest::Client,
+    /// Uses connections again, for calls that may be repeated.
+    pooled: reqwest::Client,
+    /// Opens a connection for each call: on one that the target just closed, a call could not be told from one that ran.
+    fresh: reqwest::Client,
 }
 
 #[derive(Deserialize)]
@@ -67,18 +74,18 @@
     /// # Errors
     /// What `reqwest` says when the client cannot be set up.
     pub fn open(base: &str) -> reqwest::Result<Self> {
-        // No idle connections are reused: a call on one that the target just closed could not be told from one that ran.
-        let client = reqwest::Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .pool_max_idle_per_host(0)
-            .build()?;
-        Ok(Self { base: base.trim_end_matches('/').to_owned(), client })
+        let builder = || reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT);
+        Ok(Self {
+            base: base.trim_end_matches('/').to_owned(),
+            pooled: builder().pool_idle_timeout(POOL_IDLE).build()?,
+            fresh: builder().pool_max_idle_per_host(0).build()?,
+        })
     }
 
     async fn send(&self, call: &TargetCall) -> Result<Response, Outcome> {
+        let client = if call.idempotent { &self.pooled } else { &self.fresh };
         let url = format!("{}{}", self.base, call.path);
-        let req =
-            self.client.post(url).timeout(call.timeout).header("content-type", "application/json");
+        let req = client.post(url).timeout(call.timeout).header("content-type", "application/json");
         req.body(call.body.clone()).send().await.map_err(|err| {
             if err.is_connect() {
                 return Outcome::not_run(NotRunCause::TargetRefused);
@@ -150,7 +157,7 @@
     }
 
     async fn load(&self) -> Option<u32> {
-        let req = self.client.get(format!("{}/v1/load", self.base)).timeout(Duration::from_secs(1));
+        let req = self.pooled.get(format!("{}/v1/load", self.base)).timeout(Duration::from_secs(1));
         let report: LoadReport = req.send().await.ok()?.json().await.ok()?;
         Some(report.running + report.queued)
     }
--- a/crates/core/tests/view.rs
+++ b/crates/core/tests/view.rs
@@ -111,3 +111,25 @@
         assert!(picked.count_total <= 16);
     }
 }
+
+#[test]
+fn memory_configuration_at_target_size() {
+    /// Bound of a process.
+    const PROCESS_BYTES: i64 = 64_000_000;
+    /// Part of it that the configuration may hold live; links, requests and the allocator need the rest.
+    const SHARE: i64 = 3;
+    let (customers, targets) = (4_700, 12_000);
+    let mut kept = None;
+    let live = allocation_counter::measure(|| {
+        let items = items(customers, targets, 20);
+        let view = View::compile(1, &items).unwrap();
+        kept = Some((items, view));
+    });
+    println!(
+        "{customers} customers and {targets} targets: {} B live, {} B at the peak; bound {}",
+        live.bytes_current,
+        live.bytes_max,
+        PROCESS_BYTES / SHARE
+    );
+    assert!(live.bytes_current <= PROCESS_BYTES / SHARE);
+}
--- a/crates/entry/src/api/operators.rs
+++ b/crates/entry/src/api/operators.rs
@@ -210,6 +210,7 @@
             "target": handle.name,
             "pool": handle.pool,
             "data_centre": handle.data_centre,
+            "incarnation": handle.report.load().as_ref().map_or(0, |report| report.incarnation),
             "usable": handle.is_usable(now),
             "leaving": handle.is_leaving(),
             "ejected": load.ejected,
--- a/crates/marigold/src/measure/recovery.rs
+++ b/crates/marigold/src/measure/recovery.rs
@@ -1,5 +1,6 @@
 //! Recovery: how long until all serve again after losses, and how hard the platform is called then.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use marigold_testbed::bed::Bed;
@@ -28,23 +29,48 @@
     Ok((sum, counts["peak_per_s"].as_u64().unwrap_or(0)))
 }
 
+/// Incarnations of the targets' agents, as each entry knows them.
+async fn incarnations(bed: &Bed) -> Vec<BTreeMap<String, u64>> {
+    let mut by_entry = Vec::new();
+    for entry in &bed.entries {
+        let status = entry.operate(reqwest::Method::GET, "status", None).await;
+        let lines = status.body["targets"].as_array().cloned().unwrap_or_default();
+        let known = lines.iter().filter_map(|line| {
+            Some((line["target"].as_str()?.to_owned(), line["incarnation"].as_u64()?))
+        });
+        by_entry.push(known.collect());
+    }
+    by_entry
+}
+
+/// Waits until every entry serves and knows the new agent of each restarted target; gives a row.
 async fn measure(
     bed: &Bed,
     failure: &str,
-    rows: &mut Vec<Vec<String>>,
+    restarted: &BTreeMap<String, u64>,
     calls_before: u64,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<Vec<String>> {
     let started = Instant::now();
+    loop {
+        let is_old = |known: &BTreeMap<String, u64>| {
+            restarted.iter().any(|(target, old)| known.get(target).is_none_or(|new| new == old))
+        };
+        if !incarnations(bed).await.iter().any(is_old) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     bed.wait_ready().await;
     let took = started.elapsed();
+    // Late calls belong to the recovery too.
+    tokio::time::sleep(Duration::from_secs(5)).await;
     let (calls, peak) = counts(bed).await?;
-    rows.push(vec![
+    Ok(vec![
         failure.to_owned(),
         format!("{:.2}", took.as_secs_f64()),
         (calls - calls_before).to_string(),
         peak.to_string(),
-    ]);
-    Ok(())
+    ])
 }
 
 /// Runs the measurement.
@@ -85,13 +111,18 @@
     let (before, _) = counts(&bed).await?;
     let agents: Vec<String> =
         bed.processes.keys().filter(|name| name.starts_with("agent-")).cloned().collect();
+    let known = incarnations(&bed).await.into_iter().next_back().unwrap_or_default();
+    let mut restarted = BTreeMap::new();
     for name in agents.iter().step_by(10) {
         bed.process(name).kill();
         bed.restart(name);
+        let target = name.trim_start_matches("agent-");
+        restarted.insert(target.to_owned(), known.get(target).copied().unwrap_or(0));
     }
     bed.process("entry-0").kill();
     bed.restart("entry-0");
-    measure(&bed, "a tenth of the agents and an entry killed at once", &mut rows, before).await?;
+    let failure = "a tenth of the agents and an entry killed at once";
+    rows.push(measure(&bed, failure, &restarted, before).await?);
 
     let (before, _) = counts(&bed).await?;
     for i in 0..options.entries {
@@ -99,14 +130,15 @@
         bed.process(&name).kill();
         bed.restart(&name);
     }
-    measure(&bed, "all entries killed at once", &mut rows, before).await?;
+    rows.push(measure(&bed, "all entries killed at once", &BTreeMap::new(), before).await?);
 
     bed.set_faults(bed.platform, &json!({ "down": true })).await;
     tokio::time::sleep(options.outage).await;
     let (before, _) = counts(&bed).await?;
     bed.set_faults(bed.platform, &json!({})).await;
     tokio::time::sleep(Duration::from_secs(10)).await;
-    measure(&bed, "platform back after its outage, 10 s on", &mut rows, before).await?;
+    let failure = "platform back after its outage, 10 s on";
+    rows.push(measure(&bed, failure, &BTreeMap::new(), before).await?);
 
     println!(
         "{} entries, {} agents, platform outage of {:?}\n",
--- a/crates/marigold/tests/failure_matrix.rs
+++ b/crates/marigold/tests/failure_matrix.rs
@@ -470,3 +470,32 @@
         "20 of 20 calls elsewhere",
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_entry_cut_off() {
+    let bed = bed(&Plan { entry_relays: true, ..Plan::receipts(3) }, "cut-off").await;
+    let (base, _) = revision_of(&bed.entries[0]).await;
+    bed.cut_entry(2, true);
+    let accepted =
+        bed.entries[0].operate(Method::PUT, &format!("preset/peak?base={base}"), None).await;
+    assert_eq!((accepted.status, &accepted.body["confirmed"]), (200, &json!(2)), "{accepted:?}");
+    assert_eq!(revision_of(&bed.entries[1]).await, (base + 1, "peak".to_owned()));
+    let refused =
+        bed.entries[2].operate(Method::PUT, &format!("preset/maintenance?base={base}"), None).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    // The entry that is cut off still serves, with what it knows.
+    let served = bed.entries[2].record("record-receipt", "cut-off", Some("cut-off")).await;
+    assert!(served.is_done(), "{served:?}");
+    assert_eq!(revision_of(&bed.entries[2]).await, (base, "ordinary".to_owned()));
+    bed.cut_entry(2, false);
+    let healed = Instant::now();
+    while revision_of(&bed.entries[2]).await != (base + 1, "peak".to_owned()) {
+        assert!(healed.elapsed() < Duration::from_secs(4), "not in force within 4 s of the heal");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    row(
+        "configuration never reverts",
+        "an entry cut off from all others and the store",
+        &format!("serves on; in force {:.1?} after the heal", healed.elapsed()),
+    );
+}
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -40,6 +40,8 @@
     commands: BTreeMap<String, (PathBuf, Vec<String>)>,
     /// Targets in the order of the plan.
     pub targets: Vec<TargetPlace>,
+    /// Relays on the way from each entry to another or, without another, to the platform.
+    pub entry_relays: BTreeMap<(usize, Option<usize>), Relay>,
     /// Clients of the entries.
     pub entries: Vec<EntryClient>,
     /// Address of the platform.
@@ -58,6 +60,7 @@
             processes: BTreeMap::new(),
             commands: BTreeMap::new(),
             targets: Vec::new(),
+            entry_relays: BTreeMap::new(),
             entries: Vec::new(),
             platform: free_addr(),
             http: reqwest::Client::new(),
@@ -137,13 +140,15 @@
         let links: Vec<SocketAddr> = (0..plan.entries).map(|_| free_addr()).collect();
         for (i, link) in links.iter().enumerate() {
             let http = free_addr();
-            let peers = links.iter().filter(|other| *other != link);
-            let peers: Vec<Value> = peers
-                .map(|peer| json!({ "address": peer.to_string(), "data_centre": "north" }))
-                .collect();
+            let mut peers = Vec::new();
+            for (j, peer) in links.iter().enumerate().filter(|(j, _)| *j != i) {
+                let addr = self.way(plan, i, Some(j), *peer).await;
+                peers.push(json!({ "address": addr.to_string(), "data_centre": "north" }));
+            }
+            let platform = self.way(plan, i, None, self.platform).await;
             let settings = json!({
                 "cluster": "bed", "name": format!("entry-{i}"), "data_centre": "north", "http_address": http.to_string(),
-                "link_address": link.to_string(), "platform": format!("http://{}", self.platform), "peers": peers,
+                "link_address": link.to_string(), "platform": format!("http://{platform}"), "peers": peers,
                 "link_secret": "a-secret-for-the-bed", "operator_token_sha256": digest::sha256_hex(OPERATOR_TOKEN),
                 "drain_s": 30,
             });
@@ -154,6 +159,30 @@
         }
     }
 
+    /// Address at which an entry reaches another or the platform, through a relay if the plan has them.
+    async fn way(
+        &mut self,
+        plan: &Plan,
+        from: usize,
+        to: Option<usize>,
+        addr: SocketAddr,
+    ) -> SocketAddr {
+        if !plan.entry_relays {
+            return addr;
+        }
+        let relay = Relay::spawn(addr).await;
+        let addr = relay.addr();
+        self.entry_relays.insert((from, to), relay);
+        addr
+    }
+
+    /// Cuts an entry off from the other entries and the platform, or heals that.
+    pub fn cut_entry(&self, entry: usize, is_cut: bool) {
+        let ways = self.entry_relays.iter();
+        let touching = ways.filter(|((from, to), _)| *from == entry || *to == Some(entry));
+        touching.for_each(|(_, relay)| relay.cut(is_cut));
+    }
+
     fn write_settings(&self, name: &str, settings: &Value) -> String {
         let path = self.folder.join(format!("{name}.toml"));
         let text = toml::to_string(settings).expect("settings serialise");
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -55,6 +55,8 @@
     pub pipelines: &'static str,
     /// Whether relays stand before the agents.
     pub relays: bool,
+    /// Whether relays stand between the entries, and between each entry and the platform.
+    pub entry_relays: bool,
     /// Customers beside the one that calls.
     pub more_customers: usize,
     /// Whether all targets of a pool are one stand-in.
@@ -110,6 +112,7 @@
                 stages = [{ name = "look-up", pool = "receipts", path = "/v1/balance", idempotent = true }]
             "#,
             relays: false,
+            entry_relays: false,
             more_customers: 0,
             shared_targets: false,
         }
