Models are placed by declaration and preset; orders carry the revision as fencing number

Cause: presets could not say which model an engine has loaded, and `checks_fencing` had no effect.

Ways weighed: a lease with a fencing number for each engine (another object and renewals in the platform for 12,000 targets); one agent beside each engine that orders what the configuration says, with its revision as the number. The second needs no agreement beyond the configuration's own. An engine that does not check may carry out an old order of a replaced agent; the model is read back every half second and ordered again.

Figures: a preset rolls 4 engines under 30 streams of 1.5 s, a quarter of the pool at a time; 30 whole answers, an old order refused by each engine.

KV export and import are not used yet.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -22,6 +22,7 @@
 use crate::calls;
 use crate::licences;
 use crate::load;
+use crate::orders;
 use crate::state::{Shared, Tables, heartbeat_interval};
 use crate::target::HttpTarget;
 
@@ -59,6 +60,7 @@
             slice: ArcSwapOption::empty(),
             revision: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            loading: AtomicBool::new(false),
             queued: AtomicU32::new(0),
             licence_work: Notify::new(),
             settings,
@@ -68,6 +70,7 @@
         let tasks = vec![
             tokio::spawn(load::run(shared.clone())),
             tokio::spawn(licences::run(shared.clone())),
+            tokio::spawn(orders::run(shared.clone())),
         ];
         let settings = &shared.settings;
         tracing::info!(target = settings.target, pool = settings.pool, addr = %server.addr(), "agent serves");
@@ -133,7 +136,7 @@
         Reply::Report(Report {
             target: shared.settings.target.clone(),
             incarnation: shared.incarnation,
-            leaving: shared.is_leaving(),
+            leaving: !shared.takes_calls(),
             in_flight,
             queued,
             revision: shared.revision.load(Ordering::SeqCst),
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -136,7 +136,7 @@
     if call.agent_incarnation != shared.incarnation {
         return Admission::not_run(NotRunCause::StaleIncarnation);
     }
-    if shared.is_leaving() {
+    if !shared.takes_calls() {
         return Admission::not_run(NotRunCause::Leaving);
     }
     let Some(slice) = shared.slice.load_full() else {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,5 +5,6 @@
 mod feed;
 mod licences;
 mod load;
+mod orders;
 mod state;
 pub mod target;
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -65,6 +65,8 @@
     pub(crate) slice: ArcSwapOption<PoolSlice>,
     pub(crate) revision: std::sync::atomic::AtomicU64,
     pub(crate) leaving: AtomicBool,
+    /// Whether the target loads a model and takes no calls.
+    pub(crate) loading: AtomicBool,
     pub(crate) queued: AtomicU32,
     /// Wakes the licence task before its next tick.
     pub(crate) licence_work: Notify,
@@ -79,6 +81,11 @@
         self.leaving.load(Ordering::SeqCst)
     }
 
+    /// Whether new calls are taken.
+    pub(crate) fn takes_calls(&self) -> bool {
+        !self.is_leaving() && !self.loading.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn in_flight(&self) -> usize {
         self.tables.lock().attempts.running()
     }
--- a/crates/agent/src/target.rs
+++ b/crates/agent/src/target.rs
@@ -11,6 +11,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an unused connection to the target is closed.
 const POOL_IDLE: Duration = Duration::from_secs(10);
+/// Time for reading a target's load or model.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest call that may not be cut.
 pub const MAX_CALL: Duration = Duration::from_secs(300);
 /// Largest answer of a target, in bytes.
@@ -29,6 +31,17 @@
     pub idempotent: bool,
 }
 
+/// How an order ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// The target carried it out.
+    Done,
+    /// The target has had an order with a later fencing number.
+    Fenced,
+    /// It cannot be told; the loaded model has to be read back.
+    Unknown(String),
+}
+
 /// A target as the agent sees it.
 pub trait Target: Send + Sync + 'static {
     /// Calls the target and waits for its whole answer.
@@ -41,6 +54,17 @@
         on_token: impl FnMut(String) + Send,
     ) -> impl Future<Output = Outcome> + Send;
 
+    /// Model that the target has loaded; empty before the first order.
+    fn model(&self) -> impl Future<Output = Option<String>> + Send;
+
+    /// Orders the target to load a model; waits until it has, for `bound` at the most.
+    fn load_model(
+        &self,
+        model: &str,
+        fencing: u64,
+        bound: Duration,
+    ) -> impl Future<Output = OrderEnd> + Send;
+
     /// Calls in progress and queued, as the target reports them.
     fn load(&self) -> impl Future<Output = Option<u32>> + Send;
 }
@@ -62,6 +86,11 @@
     done: bool,
 }
 
+#[derive(Deserialize)]
+struct Loaded {
+    model: String,
+}
+
 #[derive(Deserialize)]
 struct LoadReport {
     running: u32,
@@ -156,8 +185,25 @@
         Outcome::Unknown("the target's stream ended early".to_owned())
     }
 
+    async fn model(&self) -> Option<String> {
+        let req = self.pooled.get(format!("{}/v1/model", self.base)).timeout(READ_TIMEOUT);
+        let loaded: Loaded = req.send().await.ok()?.json().await.ok()?;
+        Some(loaded.model)
+    }
+
+    async fn load_model(&self, model: &str, fencing: u64, bound: Duration) -> OrderEnd {
+        let order = serde_json::json!({ "fencing": fencing, "action": "load", "value": model });
+        let req = self.fresh.post(format!("{}/v1/orders", self.base)).timeout(bound).json(&order);
+        match req.send().await {
+            Ok(response) if response.status().is_success() => OrderEnd::Done,
+            Ok(response) if response.status().as_u16() == 409 => OrderEnd::Fenced,
+            Ok(response) => OrderEnd::Unknown(format!("status {}", response.status())),
+            Err(err) => OrderEnd::Unknown(err.to_string()),
+        }
+    }
+
     async fn load(&self) -> Option<u32> {
-        let req = self.pooled.get(format!("{}/v1/load", self.base)).timeout(Duration::from_secs(1));
+        let req = self.pooled.get(format!("{}/v1/load", self.base)).timeout(READ_TIMEOUT);
         let report: LoadReport = req.send().await.ok()?.json().await.ok()?;
         Some(report.running + report.queued)
     }
--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -7,7 +7,7 @@
 
 use jsonschema::error::ValidationErrorKind;
 use marigold_schema::declarations::{
-    Customer, DataCentre, Declarations, Pipeline, Pool, PoolKind, Stage, Target,
+    Customer, DataCentre, Declarations, Pipeline, Pool, PoolKind, Preset, Stage, Target,
 };
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
@@ -122,6 +122,7 @@
     target: Items<Target>,
     pipeline: Items<Pipeline>,
     customer: Items<Customer>,
+    preset: Items<Preset>,
 }
 
 #[derive(Default)]
@@ -285,12 +286,14 @@
             target: items(&self.root, "target"),
             pipeline: items(&self.root, "pipeline"),
             customer: items(&self.root, "customer"),
+            preset: items(&self.root, "preset"),
         };
         self.check_data_centres(&declared);
         self.check_targets(&declared);
         self.check_pools(&declared);
         self.check_pipelines(&declared);
         self.check_customers(&declared);
+        self.check_presets(&declared);
     }
 
     fn check_data_centres(&mut self, declared: &Lenient) {
@@ -333,6 +336,30 @@
         }
     }
 
+    fn check_presets(&mut self, declared: &Lenient) {
+        for (name, preset) in fitting(&declared.preset) {
+            for pool in preset.models.keys() {
+                let place = path(&["preset", name, "models", pool]);
+                match declared.pool.get(pool) {
+                    None => {
+                        self.report(&place, unknown_name("pool", pool, declared.pool.keys()));
+                    }
+                    Some(Some(pool)) if pool.kind != PoolKind::Engine => {
+                        let message = "only an engine's pool has models".to_owned();
+                        self.report(&place, message);
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+        for (name, pool) in fitting(&declared.pool) {
+            if pool.model.is_some() && pool.kind != PoolKind::Engine {
+                let message = "only an engine's pool has a model".to_owned();
+                self.report(&path(&["pool", name, "model"]), message);
+            }
+        }
+    }
+
     fn check_pools(&mut self, declared: &Lenient) {
         if declared.target.values().any(Option::is_none) {
             return;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -240,7 +240,9 @@
             licence_term_s: pool.licence_term_s,
             reports_load: pool.reports_load,
             engine: pool.kind == PoolKind::Engine,
-            targets: if pool.idempotent { Vec::new() } else { targets.keys().cloned().collect() },
+            model: self.preset.models.get(name).cloned().or_else(|| pool.model.clone()),
+            load_s: pool.load_s,
+            targets: targets.keys().cloned().collect(),
         };
         PoolView { name: name.to_owned(), pool: pool.clone(), concurrency, targets, slice }
     }
--- a/crates/marigold/tests/failure_matrix.rs
+++ b/crates/marigold/tests/failure_matrix.rs
@@ -499,3 +499,64 @@
         &format!("serves on; in force {:.1?} after the heal", healed.elapsed()),
     );
 }
+
+async fn model_of(addr: std::net::SocketAddr) -> String {
+    let loaded: Value =
+        reqwest::get(format!("http://{addr}/v1/model")).await.unwrap().json().await.unwrap();
+    loaded["model"].as_str().unwrap_or_default().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn preset_rolls_models() {
+    let mut plan = Plan::streams(2);
+    plan.presets = "[preset.ordinary]\n[preset.peak]\nmodels = { assistants = \"small-2\" }\n[preset.maintenance]\n";
+    let engines = plan.pools.iter_mut().find(|pool| pool.kind == "engine").unwrap();
+    (engines.targets, engines.extra) = (4, "model = \"small-1\"\nload_s = 1");
+    let bed = bed(&plan, "models").await;
+    let addrs: Vec<_> = bed
+        .targets
+        .iter()
+        .filter(|target| target.pool == "assistants")
+        .map(|target| target.target_addr)
+        .collect();
+    let started = Instant::now();
+    for addr in &addrs {
+        while model_of(*addr).await != "small-1" {
+            assert!(started.elapsed() < Duration::from_secs(10), "the first model is not loaded");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let mut running = JoinSet::new();
+    for i in 0..30 {
+        let entry = bed.entries[i % 2].clone();
+        running.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(300 * i as u64)).await;
+            entry.run("tell", &json!({ "n": i }), None, None).await
+        });
+    }
+    let (base, _) = revision_of(&bed.entries[0]).await;
+    let used = bed.entries[0].operate(Method::PUT, &format!("preset/peak?base={base}"), None).await;
+    assert_eq!(used.status, 200, "{used:?}");
+    let answers = running.join_all().await;
+    assert!(answers.iter().all(|answer| answer.body["tokens"] == 100), "{answers:?}");
+    for addr in &addrs {
+        while model_of(*addr).await != "small-2" {
+            assert!(started.elapsed() < Duration::from_secs(40), "the second model is not loaded");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        // An order from before the change is refused.
+        let order = json!({ "fencing": base, "action": "load", "value": "small-1" });
+        let sent = reqwest::Client::new()
+            .post(format!("http://{addr}/v1/orders"))
+            .json(&order)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(sent.status(), 409);
+    }
+    row(
+        "a planned stop cuts nothing",
+        "a preset rolls the model of 4 engines under load",
+        "30 whole answers; an old order refused",
+    );
+}
--- a/crates/schema/src/declarations.rs
+++ b/crates/schema/src/declarations.rs
@@ -323,6 +323,17 @@
 ///      "format": "uint32",
 ///      "minimum": 2.0
 ///    },
+///    "load_s": {
+///      "description": "Seconds that an engine takes to load a model; a quarter of the pool loads at a time.",
+///      "default": 30,
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "model": {
+///      "description": "Model and version that the pool's engines are to have loaded.",
+///      "type": "string"
+///    },
 ///    "reports_load": {
 ///      "description": "Whether the targets report their load.",
 ///      "default": false,
@@ -369,6 +380,12 @@
     ///Seconds for which the home of idempotency keys serves without reaching the platform.
     #[serde(default = "defaults::default_u64::<u32, 1200>")]
     pub licence_term_s: u32,
+    ///Seconds that an engine takes to load a model; a quarter of the pool loads at a time.
+    #[serde(default = "defaults::default_u64::<u32, 30>")]
+    pub load_s: u32,
+    ///Model and version that the pool's engines are to have loaded.
+    #[serde(default)]
+    pub model: ::std::option::Option<::std::string::String>,
     ///Whether the targets report their load.
     #[serde(default)]
     pub reports_load: bool,
@@ -502,6 +519,14 @@
 ///      "maximum": 9.0,
 ///      "minimum": 0.0
 ///    },
+///    "models": {
+///      "description": "Models by pool, in place of the pools' own.",
+///      "default": {},
+///      "type": "object",
+///      "additionalProperties": {
+///        "type": "string"
+///      }
+///    },
 ///    "retry_share": {
 ///      "description": "Retries allowed for each successful attempt.",
 ///      "default": 0.1,
@@ -526,6 +551,15 @@
     ///Pipelines below this priority are refused.
     #[serde(default)]
     pub min_priority: u8,
+    ///Models by pool, in place of the pools' own.
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
+    )]
+    pub models: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::string::String,
+    >,
     ///Retries allowed for each successful attempt.
     #[serde(default = "defaults::preset_retry_share")]
     pub retry_share: f64,
@@ -536,6 +570,7 @@
             concurrency_scale: defaults::preset_concurrency_scale(),
             max_tokens: defaults::default_nzu64::<::std::num::NonZeroU32, 4096>(),
             min_priority: Default::default(),
+            models: Default::default(),
             retry_share: defaults::preset_retry_share(),
         }
     }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -743,6 +743,7 @@
 ///    "idempotent",
 ///    "key_shards",
 ///    "licence_term_s",
+///    "load_s",
 ///    "pool",
 ///    "preset",
 ///    "reports_load",
@@ -771,6 +772,14 @@
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
+///    "load_s": {
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "model": {
+///      "description": "Model that the target is to have loaded.",
+///      "type": "string"
+///    },
 ///    "pool": {
 ///      "type": "string"
 ///    },
@@ -809,6 +818,10 @@
     pub idempotent: bool,
     pub key_shards: u16,
     pub licence_term_s: u32,
+    pub load_s: u32,
+    ///Model that the target is to have loaded.
+    #[serde(default)]
+    pub model: ::std::option::Option<::std::string::String>,
     pub pool: ::std::string::String,
     ///Name of the preset in force.
     pub preset: ::std::string::String,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -39,6 +39,8 @@
     pub report_lag_ms: u64,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
+    /// Time to load a model in milliseconds.
+    pub load_ms: u64,
 }
 
 impl Default for Options {
@@ -51,6 +53,7 @@
             cached_prefixes: 64,
             report_lag_ms: 200,
             checks_fencing: true,
+            load_ms: 300,
         }
     }
 }
@@ -91,6 +94,7 @@
     reported: Mutex<LoadReport>,
     fencing: AtomicU64,
     orders: Mutex<Vec<Order>>,
+    model: Mutex<String>,
     /// What ran.
     pub runs: Runs,
 }
@@ -171,15 +175,24 @@
 }
 
 #[post("/v1/orders", data = "<order>")]
-fn order(engine: &State<Arc<Engine>>, order: Json<Order>) -> Status {
+async fn order(engine: &State<Arc<Engine>>, order: Json<Order>) -> Status {
     let newest = engine.fencing.fetch_max(order.fencing, Ordering::SeqCst);
     if engine.options.checks_fencing && order.fencing < newest {
         return Status::Conflict;
     }
+    if order.action == "load" {
+        tokio::time::sleep(Duration::from_millis(engine.options.load_ms)).await;
+        *engine.model.lock() = order.value.clone();
+    }
     engine.orders.lock().push(order.into_inner());
     Status::Ok
 }
 
+#[get("/v1/model")]
+fn model(engine: &State<Arc<Engine>>) -> Json<Value> {
+    Json(json!({ "model": *engine.model.lock() }))
+}
+
 #[get("/orders")]
 fn all_orders(engine: &State<Arc<Engine>>) -> Json<Vec<Order>> {
     Json(engine.orders.lock().clone())
@@ -225,6 +238,7 @@
         reported: Mutex::default(),
         fencing: AtomicU64::new(0),
         orders: Mutex::default(),
+        model: Mutex::default(),
         runs: Runs::default(),
         options,
     });
@@ -232,7 +246,17 @@
     tokio::spawn(report_load(engine.clone()));
     let rocket = rocket::custom(host::config(addr)).manage(engine.clone()).mount(
         "/",
-        routes![generate, cancel, load, cache_events, order, all_orders, all_runs, set_faults],
+        routes![
+            generate,
+            cancel,
+            load,
+            cache_events,
+            order,
+            model,
+            all_orders,
+            all_runs,
+            set_faults
+        ],
     );
     Ok((Host::spawn(rocket).await?, engine))
 }
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -53,6 +53,8 @@
     pub pools: Vec<PoolPlan>,
     /// Pipelines as TOML.
     pub pipelines: &'static str,
+    /// Presets as TOML.
+    pub presets: &'static str,
     /// Whether relays stand before the agents.
     pub relays: bool,
     /// Whether relays stand between the entries, and between each entry and the platform.
@@ -111,6 +113,7 @@
                 deadline_ms = 3000
                 stages = [{ name = "look-up", pool = "receipts", path = "/v1/balance", idempotent = true }]
             "#,
+            presets: "[preset.ordinary]\n[preset.peak]\nretry_share = 0.02\n[preset.maintenance]\nconcurrency_scale = 0.5\n",
             relays: false,
             entry_relays: false,
             more_customers: 0,
@@ -180,7 +183,7 @@
             let token = digest::sha256_hex(&format!("{CUSTOMER_TOKEN}-{i}"));
             let _ = writeln!(text, "[customer.stall-{i}]\ntoken_sha256 = \"{token}\"");
         }
-        text.push_str("[preset.ordinary]\n[preset.peak]\nretry_share = 0.02\n[preset.maintenance]\nconcurrency_scale = 0.5\n");
+        text.push_str(self.presets);
         text
     }
 }
