--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -176,8 +176,7 @@
             | Request::Tell(_)
             | Request::Push(_)
             | Request::Pull(_)
-            | Request::Forward(_)
-            | Request::Drain(_) => {
+            | Request::Forward(_) => {
                 replies.send(&Reply::Refused("an agent does not serve this".to_owned())).await?
             }
         }
--- a/crates/entry/src/homes.rs
+++ b/crates/entry/src/homes.rs
@@ -70,7 +70,7 @@
         | NotRunCause::NotEnrolled
         | NotRunCause::Fenced
         | NotRunCause::TargetRefused => true,
-        NotRunCause::Overloaded | NotRunCause::LedgerFull | NotRunCause::Late => false,
+        NotRunCause::Overloaded | NotRunCause::LedgerFull => false,
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -58,8 +58,7 @@
             | Request::Call(_)
             | Request::Settle(_)
             | Request::Cancel(_)
-            | Request::TakeHint(_)
-            | Request::Drain(_) => {
+            | Request::TakeHint(_) => {
                 replies.send(&Reply::Refused("an entry does not serve this".to_owned())).await
             }
         }
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -1,29 +1,32 @@
 //! One stage of a request: a target is chosen, tried and, where that is safe, replaced by another.
 
+mod charge;
+mod ends;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_core::cost::{Account, Worth};
+use marigold_core::cost::Worth;
 use marigold_core::deadline;
 use marigold_core::digest;
 use marigold_core::ids::Name;
-use marigold_core::outcome::{Answer, NotRunCause, Outcome};
+use marigold_core::outcome::{NotRunCause, Outcome};
 use marigold_core::rendezvous;
 use marigold_core::router::{self, Candidate, ExpectedCompletion, Strategy as _};
 use marigold_core::view::{Customer, PoolView, View};
 use marigold_schema::messages::Call;
 
+use charge::{Charge, Share};
+pub(crate) use ends::{FailureKind, StageDone, StageFailed};
+
 use crate::attempt::{self, Ended};
-use crate::billing;
 use crate::homes::{self, Key, KeyedEnd};
 use crate::state::{PoolState, Shared};
 use crate::targets::TargetHandle;
 
 /// Attempts of one stage at the most.
 const MAX_ATTEMPTS: usize = 4;
-/// When to come back after a refusal without a better estimate.
-const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 /// Status from which an idempotent stage's answer counts as a failure.
 const SERVER_ERROR: u16 = 500;
 
@@ -50,91 +53,6 @@
     pub(crate) max_tokens: u32,
 }
 
-/// A stage that gave its answer.
-pub(crate) struct StageDone {
-    pub(crate) answer: Answer,
-    pub(crate) text: String,
-    pub(crate) target: Name,
-    pub(crate) duration: Duration,
-    pub(crate) replayed: bool,
-}
-
-/// Why a stage gave no answer.
-pub(crate) enum FailureKind {
-    /// No attempt ran.
-    NotRun(NotRunCause),
-    /// Refused before any attempt, because the deadline cannot be met.
-    TooLate,
-    /// Refused before any attempt, because the customer has used up its share.
-    Share,
-    /// No target can take the stage.
-    NoTarget,
-    /// An attempt may have run.
-    Unknown,
-    /// The key's home cannot be heard.
-    NoHome,
-    /// The deadline passed while an attempt was in progress.
-    Deadline,
-    /// The key was used with another body.
-    KeyMismatch,
-}
-
-/// A stage without an answer.
-pub(crate) struct StageFailed {
-    pub(crate) kind: FailureKind,
-    /// Whether an attempt of this stage may have run.
-    pub(crate) may_have_run: bool,
-    pub(crate) peer: Name,
-    pub(crate) detail: String,
-    pub(crate) retry_after: Duration,
-}
-
-impl StageFailed {
-    fn refused(kind: FailureKind, detail: &str) -> Self {
-        Self {
-            kind,
-            may_have_run: false,
-            peer: Name::new(),
-            detail: detail.to_owned(),
-            retry_after: DEFAULT_RETRY,
-        }
-    }
-}
-
-/// Charges an attempt when dropped; a dropped request counts as cancelled.
-struct Charge<'a> {
-    req: &'a StageRequest<'a>,
-    target: Name,
-    worth: Option<Worth>,
-    tokens: u32,
-}
-
-impl Drop for Charge<'_> {
-    fn drop(&mut self) {
-        let Some(worth) = self.worth else { return };
-        let account = Account {
-            customer: self.req.customer.name.clone(),
-            pipeline: self.req.pipeline.to_owned(),
-            stage: self.req.stage.to_owned(),
-            target: std::mem::take(&mut self.target),
-            worth,
-        };
-        billing::charge(self.req.shared, &self.req.pool, account, self.tokens);
-    }
-}
-
-/// Holds a part of the pool's limit.
-struct Share<'a> {
-    pool: &'a PoolState,
-    customer: &'a str,
-}
-
-impl Drop for Share<'_> {
-    fn drop(&mut self) {
-        self.pool.shares.lock().release(self.customer);
-    }
-}
-
 struct Chosen {
     handle: Arc<TargetHandle>,
     load: u32,
@@ -315,13 +233,13 @@
                     if matches!(cause, NotRunCause::TargetRefused) {
                         handle.load.on_failure(now);
                     }
-                    failed = not_run(cause, retry_after, &handle.name);
+                    failed = StageFailed::not_run(cause, retry_after, &handle.name);
                 }
                 Outcome::Done(answer) => {
                     may_have_run = true;
                     charge.worth = Some(Worth::Retried);
                     handle.load.on_failure(now);
-                    failed = unknown(
+                    failed = StageFailed::unknown(
                         format!("the target answered with status {}", answer.status),
                         &handle.name,
                     );
@@ -330,10 +248,13 @@
                     may_have_run = true;
                     charge.worth = Some(Worth::Retried);
                     handle.load.on_failure(now);
-                    failed = unknown(reason, &handle.name);
+                    failed = StageFailed::unknown(reason, &handle.name);
                 }
                 Outcome::KeyMismatch => {
-                    return Err(unknown("the agent found a key".to_owned(), &handle.name));
+                    return Err(StageFailed::unknown(
+                        "the agent found a key".to_owned(),
+                        &handle.name,
+                    ));
                 }
             }
             tried.insert(handle.name.clone());
@@ -406,7 +327,7 @@
                 return self.end_once(ended, &chosen.handle.name, started);
             };
             chosen.handle.beat_now.notify_one();
-            failed = not_run(cause, retry_after, &chosen.handle.name);
+            failed = StageFailed::not_run(cause, retry_after, &chosen.handle.name);
             tried.insert(chosen.handle.name.clone());
         }
         Err(failed)
@@ -428,10 +349,12 @@
                 let (target, replayed) = (target.to_owned(), ended.replayed);
                 Ok(StageDone { answer, text: String::new(), target, duration, replayed })
             }
-            Outcome::NotRun { cause, retry_after } => Err(not_run(cause, retry_after, target)),
+            Outcome::NotRun { cause, retry_after } => {
+                Err(StageFailed::not_run(cause, retry_after, target))
+            }
             Outcome::Unknown(reason) => {
                 charge.worth = Some(Worth::Failed);
-                Err(unknown(reason, target))
+                Err(StageFailed::unknown(reason, target))
             }
             Outcome::KeyMismatch => Err(StageFailed {
                 peer: target.to_owned(),
@@ -447,7 +370,7 @@
     fn deadline_unknown(&self, target: &str) -> StageFailed {
         let mut charge = self.charge(target);
         charge.worth = Some(Worth::Late);
-        unknown("the deadline passed; the call may still run".to_owned(), target)
+        StageFailed::unknown("the deadline passed; the call may still run".to_owned(), target)
     }
 
     fn deadline_passed(&self, handle: &TargetHandle) -> StageFailed {
@@ -456,27 +379,7 @@
             may_have_run: true,
             peer: handle.name.clone(),
             detail: "the deadline passed".to_owned(),
-            retry_after: DEFAULT_RETRY,
+            retry_after: ends::DEFAULT_RETRY,
         }
     }
 }
-
-fn not_run(cause: NotRunCause, retry_after: Duration, peer: &str) -> StageFailed {
-    StageFailed {
-        kind: FailureKind::NotRun(cause),
-        may_have_run: false,
-        peer: peer.to_owned(),
-        detail: format!("the attempt did not run: {cause}"),
-        retry_after: if retry_after.is_zero() { DEFAULT_RETRY } else { retry_after },
-    }
-}
-
-fn unknown(detail: String, peer: &str) -> StageFailed {
-    StageFailed {
-        kind: FailureKind::Unknown,
-        may_have_run: true,
-        peer: peer.to_owned(),
-        detail,
-        retry_after: DEFAULT_RETRY,
-    }
-}
--- a/crates/marigold/src/measure/overhead.rs
+++ b/crates/marigold/src/measure/overhead.rs
@@ -10,6 +10,9 @@
 
 use super::proc;
 
+/// Length of a part that is sent one way before the other has its turn.
+const PART: Duration = Duration::from_secs(1);
+
 /// Options of the measurement.
 pub struct Options {
     /// Folder with the binaries.
@@ -92,8 +95,15 @@
     let idle = (proc::usage(entry)?, proc::usage(agent)?);
     let direct_url = format!("http://{}/v1/call", bed.targets[0].target_addr);
     let system_url = format!("{}/v1/run/embed", bed.entries[0].base());
-    let direct = send_at_rate(&direct_url, options.rate, options.length).await;
-    let through = send_at_rate(&system_url, options.rate, options.length).await;
+    let (mut direct, mut through) = ((histogram(), 0), (histogram(), 0));
+    // Short parts in turn, so that both see the same machine.
+    for _ in 0..options.length.as_secs().max(1) {
+        for (url, sum) in [(&direct_url, &mut direct), (&system_url, &mut through)] {
+            let (latencies, failures) = send_at_rate(url, options.rate, PART).await;
+            sum.0.add(&latencies)?;
+            sum.1 += failures;
+        }
+    }
     print("direct to the stand-in", &direct);
     print("through entry and agent", &through);
     let added = |quantile| {
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -633,8 +633,7 @@
 ///    "not_enrolled",
 ///    "fenced",
 ///    "target_refused",
-///    "ledger_full",
-///    "late"
+///    "ledger_full"
 ///  ]
 ///}
 /// ```
@@ -668,8 +667,6 @@
     TargetRefused,
     #[serde(rename = "ledger_full")]
     LedgerFull,
-    #[serde(rename = "late")]
-    Late,
 }
 impl ::std::fmt::Display for NotRunCause {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -682,7 +679,6 @@
             Self::Fenced => f.write_str("fenced"),
             Self::TargetRefused => f.write_str("target_refused"),
             Self::LedgerFull => f.write_str("ledger_full"),
-            Self::Late => f.write_str("late"),
         }
     }
 }
@@ -700,7 +696,6 @@
             "fenced" => Ok(Self::Fenced),
             "target_refused" => Ok(Self::TargetRefused),
             "ledger_full" => Ok(Self::LedgerFull),
-            "late" => Ok(Self::Late),
             _ => Err("invalid value".into()),
         }
     }
@@ -1209,19 +1204,6 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
-///    },
-///    {
-///      "type": "object",
-///      "required": [
-///        "drain"
-///      ],
-///      "properties": {
-///        "drain": {
-///          "description": "Name of the target that is to leave.",
-///          "type": "string"
-///        }
-///      },
-///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1249,8 +1231,6 @@
     Pull(Pull),
     #[serde(rename = "forward")]
     Forward(Forward),
-    #[serde(rename = "drain")]
-    Drain(::std::string::String),
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
