A joined key makes no knower, and a forgotten attempt is not called fenced

Cause: two faults found by reading the settle path against the model. (1) A call that joins a running key made its entry a knower of the key. If its answer is lost, settling fences the attempt (it never ran) and the entry takes its send back, while the home still counts on it; when the first entry is dropped and the home dies, the next home runs the key again. (2) Attempts are kept for 60 s after their end. An entry paused for longer settled an attempt that had run, was told "fenced", and said "not run".

Ruled out: keeping attempts for the retention time (memory); not taking sends back at all (every dead home would leave keys unknown that never ran).

Conclusion: only the entry that started a key, and those that were told, count as knowers; each entry's highest forgotten attempt is remembered.

--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -100,9 +100,8 @@
         (Settled::Finished(outcome), None) => {
             send_event(replies, outcome.into_event(attempt, false)).await
         }
-        (Settled::Running, None) => {
-            let outcome =
-                Outcome::Unknown("the attempt runs without a record of its events".to_owned());
+        (Settled::Running | Settled::Forgotten, None) => {
+            let outcome = Outcome::Unknown("nothing is kept of the attempt any more".to_owned());
             send_event(replies, outcome.into_event(attempt, false)).await
         }
     }
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -28,18 +28,28 @@
     Finished(Outcome),
     /// It was never seen, and is refused from now on.
     Fenced,
+    /// It may have been seen, so long ago that nothing is kept of it.
+    Forgotten,
+}
+
+/// Newest life of an entry, and its highest attempt that was forgotten.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Forgotten {
+    incarnation: Incarnation,
+    highest: Option<AttemptId>,
 }
 
 /// Attempts by key.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Attempts {
     states: BTreeMap<AttemptKey, State>,
+    forgotten: BTreeMap<Name, Forgotten>,
 }
 
 impl Attempts {
-    /// Takes in an attempt; false when it was seen or fenced before.
+    /// Takes in an attempt; false when it was, or may have been, seen or fenced before.
     pub fn start(&mut self, key: AttemptKey) -> bool {
-        if self.states.contains_key(&key) {
+        if self.states.contains_key(&key) || self.is_forgotten(&key) {
             return false;
         }
         self.states.insert(key, State::Running);
@@ -53,6 +63,9 @@
 
     /// Tells what became of an attempt and fences off one that was never seen.
     pub fn settle(&mut self, key: AttemptKey, now: Uptime) -> Settled {
+        if !self.states.contains_key(&key) && self.is_forgotten(&key) {
+            return Settled::Forgotten;
+        }
         match self.states.entry(key).or_insert(State::Fenced { at: now }) {
             State::Running => Settled::Running,
             State::Finished { outcome, .. } => Settled::Finished(outcome.clone()),
@@ -70,13 +83,38 @@
         self.states.values().filter(|state| matches!(state, State::Running)).count()
     }
 
-    /// Forgets what ended long ago.
+    /// Whether an attempt that is not kept may have been seen.
+    fn is_forgotten(&self, (name, incarnation, attempt): &AttemptKey) -> bool {
+        let Some(forgotten) = self.forgotten.get(name) else { return false };
+        if *incarnation != forgotten.incarnation {
+            return *incarnation < forgotten.incarnation;
+        }
+        forgotten.highest.is_some_and(|highest| *attempt <= highest)
+    }
+
+    /// Forgets what ended long ago, but not that it may have been seen.
     pub fn expire(&mut self, now: Uptime) {
-        self.states.retain(|_, state| match state {
-            State::Running => true,
-            State::Finished { at, .. } | State::Fenced { at } => {
-                now.saturating_sub(*at) < KEEP_FINISHED
+        let forgotten = &mut self.forgotten;
+        self.states.retain(|key, state| {
+            let ended_at = match state {
+                State::Running => return true,
+                State::Finished { at, .. } | State::Fenced { at } => *at,
+            };
+            let is_kept = now.saturating_sub(ended_at) < KEEP_FINISHED;
+            if !is_kept {
+                forget(forgotten, key);
             }
+            is_kept
         });
     }
 }
+
+fn forget(forgotten: &mut BTreeMap<Name, Forgotten>, (name, incarnation, attempt): &AttemptKey) {
+    let known = forgotten.entry(name.clone()).or_default();
+    if *incarnation > known.incarnation {
+        *known = Forgotten { incarnation: *incarnation, highest: None };
+    }
+    if *incarnation == known.incarnation {
+        known.highest = known.highest.max(Some(*attempt));
+    }
+}
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -64,7 +64,7 @@
         now: Uptime,
     ) -> Verdict {
         if let Some(entry) = self.entries.get_mut(&key) {
-            entry.knowers.insert(sender.clone());
+            // The sender may take its send back when it learns that its own attempt did not run, so it is no knower.
             if entry.body_digest.as_deref().is_some_and(|known| known != body_digest) {
                 return Verdict::Mismatch;
             }
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -178,3 +178,27 @@
     ledger.note_told(&renewal.tell, &member("e3"));
     assert!(holding.prepare_renewal(&live, &ledger, 0).unwrap().tell.is_empty());
 }
+
+#[test]
+fn ledger_join_makes_no_knower() {
+    // The second entry may take its send back on proof that its own attempt did not run.
+    let (mut ledger, one, two) = (Ledger::default(), member("e1"), member("e2"));
+    assert_eq!(ledger.admit(1, 0, "body", &one, T0), Verdict::Start);
+    assert_eq!(ledger.admit(1, 0, "body", &two, T0), Verdict::Join);
+    assert_eq!(ledger.unknown_to(0, &BTreeSet::from([two])), vec![1]);
+}
+
+#[test]
+fn attempts_forgotten_are_not_called_fenced() {
+    let mut attempts = Attempts::default();
+    let key = |id| ("e1".to_owned(), 1, id);
+    attempts.start(key(5));
+    attempts.finish(key(5), Outcome::Done(answer()), T0);
+    attempts.settle(key(7), T0);
+    attempts.expire(KEEP_FINISHED);
+    // An entry that was paused for long asks late: what ran must not be called not run.
+    assert_eq!(attempts.settle(key(5), KEEP_FINISHED), Settled::Forgotten);
+    assert!(!attempts.start(key(7)), "a fenced attempt never starts, however late it comes");
+    assert!(attempts.start(key(8)));
+    assert!(!attempts.start(("e1".to_owned(), 0, 100)), "an older life of the entry is over");
+}
--- a/crates/model/src/licence.rs
+++ b/crates/model/src/licence.rs
@@ -191,15 +191,33 @@
         let home = &world.agents[1];
         let is_left = !home.holding.quarantine_left(home.clock).is_zero();
         let nobody_knows = world.entries.iter().all(|entry| entry.sent.is_empty());
-        world.ran.len() == 1
-            && nobody_knows
-            && world.tries_left > 0
-            && is_left
-            && home.holding.is_held(home.clock)
+        let is_open = world.tries_left > 0 && home.holding.is_held(home.clock);
+        world.ran.len() == 1 && nobody_knows && is_left && is_open
     };
+    explore_after(before, is_quarantined, then, without)
+}
+
+/// Explores what follows once a key of the first entry ran, and the second entry joined that run and took its own send
+/// back; `then` bounds what follows.
+pub fn explore_joined(then: Bounds) -> Exploration {
+    let before = Bounds { deaths: 0, ..then };
+    let is_joined = |world: &World| {
+        let [first, second] = &world.entries;
+        let took_back = second.sent.is_empty() && second.sent != SentLog::default();
+        world.ran.len() == 1 && world.tries_left > 0 && took_back && !first.sent.is_empty()
+    };
+    explore_after(before, is_joined, then, None)
+}
+
+/// Explores from the first state within `before` for which `until` holds.
+fn explore_after(
+    before: Bounds,
+    until: impl Fn(&World) -> bool,
+    then: Bounds,
+    without: Option<Rule>,
+) -> Exploration {
     let steps = Steps { bounds: before, without };
-    let reached =
-        search::breadth_first(start(before), |world| steps.successors(world), is_quarantined);
+    let reached = search::breadth_first(start(before), |world| steps.successors(world), until);
     let Some(mut from) = reached.found else {
         return Exploration { states: reached.states, depth: reached.depth, violation: None };
     };
@@ -316,7 +334,8 @@
                     world.agents[call.agent].ready.push(call.attempt);
                     next.push(world);
                 }
-                _ => next.push(world),
+                // The answer is lost, and the entry is told that its own attempt was fenced off; or it comes.
+                _ => refuse(world, call, next),
             },
         }
     }
--- a/crates/model/tests/licence.rs
+++ b/crates/model/tests/licence.rs
@@ -1,6 +1,6 @@
 //! The licence protocol holds, and each rule of it is needed.
 
-use marigold_model::licence::{Bounds, Rule, explore, explore_quarantined};
+use marigold_model::licence::{Bounds, Rule, explore, explore_joined, explore_quarantined};
 
 /// Deaths of entries and agents, without pauses.
 const DEATHS: Bounds = Bounds {
@@ -22,6 +22,9 @@
 /// Releases, refusals by targets and lost answers of the platform, over three epochs.
 const RELEASES: Bounds = Bounds { deaths: 0, epochs: 3, releases: true, refusals: true, ..DEATHS };
 
+/// A third try, which may come after one that joined another's run.
+const JOINS: Bounds = Bounds { tries: 3, ..DEATHS };
+
 fn assert_holds(bounds: Bounds, least_states: usize) {
     let found = explore(bounds, None);
     println!("{bounds:?}: {} states, depth {}", found.states, found.depth);
@@ -38,6 +41,14 @@
     assert_holds(DEATHS, 100_000);
 }
 
+#[test]
+fn explore_after_join() {
+    let found = explore_joined(JOINS);
+    println!("after a join: {} states, depth {}", found.states, found.depth);
+    assert_eq!(found.violation, None);
+    assert!(found.states > 1_000, "only {} states: the bounds hide the protocol", found.states);
+}
+
 #[test]
 fn explore_pauses() {
     assert_holds(PAUSES, 100_000);
