--- /dev/null
+++ b/crates/core/src/check/references.rs
@@ -0,0 +1,201 @@
+//! References between declared items, and what no schema can say.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use marigold_schema::declarations::{
+    Customer, DataCentre, Pipeline, Pool, PoolKind, Preset, Stage, Target,
+};
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use super::{Merged, extend, path};
+
+/// Items of a kind by name; none for one that does not fit the schema.
+type Items<T> = BTreeMap<String, Option<T>>;
+
+fn items<T: DeserializeOwned>(root: &Map<String, Value>, kind: &str) -> Items<T> {
+    let of_kind = root.get(kind).and_then(Value::as_object).into_iter().flatten();
+    of_kind.map(|(name, item)| (name.clone(), serde_json::from_value(item.clone()).ok())).collect()
+}
+
+/// What fits the schema, and the names of all that is declared.
+struct Lenient {
+    data_centre: Items<DataCentre>,
+    pool: Items<Pool>,
+    target: Items<Target>,
+    pipeline: Items<Pipeline>,
+    customer: Items<Customer>,
+    preset: Items<Preset>,
+}
+
+impl Merged {
+    /// Checks all that items say of each other.
+    pub(super) fn check_references(&mut self) {
+        let declared = Lenient {
+            data_centre: items(&self.root, "data_centre"),
+            pool: items(&self.root, "pool"),
+            target: items(&self.root, "target"),
+            pipeline: items(&self.root, "pipeline"),
+            customer: items(&self.root, "customer"),
+            preset: items(&self.root, "preset"),
+        };
+        self.check_data_centres(&declared);
+        self.check_targets(&declared);
+        self.check_pools(&declared);
+        self.check_pipelines(&declared);
+        self.check_customers(&declared);
+        self.check_presets(&declared);
+    }
+
+    fn check_data_centres(&mut self, declared: &Lenient) {
+        for (name, centre) in fitting(&declared.data_centre) {
+            for other in
+                centre.delay_ms.keys().filter(|other| !declared.data_centre.contains_key(*other))
+            {
+                let path = path(&["data_centre", name, "delay_ms", other]);
+                self.report(&path, unknown_name("data centre", other, declared.data_centre.keys()));
+            }
+        }
+    }
+
+    fn check_targets(&mut self, declared: &Lenient) {
+        let mut addresses = BTreeMap::new();
+        for (name, target) in fitting(&declared.target) {
+            if !declared.pool.contains_key(&target.pool) {
+                let message = unknown_name("pool", &target.pool, declared.pool.keys());
+                self.report(&path(&["target", name, "pool"]), message);
+            }
+            if !declared.data_centre.contains_key(&target.data_centre) {
+                let message =
+                    unknown_name("data centre", &target.data_centre, declared.data_centre.keys());
+                self.report(&path(&["target", name, "data_centre"]), message);
+            }
+            let place = path(&["target", name, "address"]);
+            if target.address.parse::<SocketAddr>().is_err() {
+                let message = format!(
+                    "`{}` is no address; accepted: IP:PORT, such as 10.0.0.7:7400",
+                    target.address
+                );
+                self.report(&place, message);
+            }
+            if let Some(other) = addresses.insert(&target.address, name) {
+                self.report(
+                    &place,
+                    format!("address `{}` is also that of target `{other}`", target.address),
+                );
+            }
+        }
+    }
+
+    fn check_presets(&mut self, declared: &Lenient) {
+        for (name, preset) in fitting(&declared.preset) {
+            for pool in preset.models.keys() {
+                let place = path(&["preset", name, "models", pool]);
+                match declared.pool.get(pool) {
+                    None => {
+                        self.report(&place, unknown_name("pool", pool, declared.pool.keys()));
+                    }
+                    Some(Some(pool)) if pool.kind != PoolKind::Engine => {
+                        let message = "only an engine's pool has models".to_owned();
+                        self.report(&place, message);
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+        for (name, pool) in fitting(&declared.pool) {
+            if pool.model.is_some() && pool.kind != PoolKind::Engine {
+                let message = "only an engine's pool has a model".to_owned();
+                self.report(&path(&["pool", name, "model"]), message);
+            }
+        }
+    }
+
+    fn check_pools(&mut self, declared: &Lenient) {
+        if declared.target.values().any(Option::is_none) {
+            return;
+        }
+        for name in declared.pool.keys() {
+            if !fitting(&declared.target).any(|(_, target)| target.pool == *name) {
+                self.report(
+                    &path(&["pool", name]),
+                    "the pool has no target; declare at least one".to_owned(),
+                );
+            }
+        }
+    }
+
+    fn check_pipelines(&mut self, declared: &Lenient) {
+        for (name, pipeline) in fitting(&declared.pipeline) {
+            let mut seen = BTreeSet::new();
+            for (i, stage) in pipeline.stages.iter().enumerate() {
+                let place = path(&["pipeline", name, "stages", &i.to_string()]);
+                if !seen.insert(&stage.name) {
+                    self.report(
+                        &place,
+                        format!("stage name `{}` is used twice in the pipeline", stage.name),
+                    );
+                }
+                if !declared.pool.contains_key(&stage.pool) {
+                    let message = unknown_name("pool", &stage.pool, declared.pool.keys());
+                    self.report(&extend(&place, "pool"), message);
+                }
+                self.check_stage(&place, stage, declared);
+            }
+            if pipeline.deadline_ms > pipeline.deadline_cap_ms {
+                let message = format!(
+                    "{} ms is above `deadline_cap_ms`, {} ms; accepted: up to the cap",
+                    pipeline.deadline_ms, pipeline.deadline_cap_ms
+                );
+                self.report(&path(&["pipeline", name, "deadline_ms"]), message);
+            }
+        }
+    }
+
+    /// A pool whose calls may all be repeated keeps no idempotency keys, and an engine's calls may always be.
+    fn check_stage(&mut self, place: &[String], stage: &Stage, declared: &Lenient) {
+        let Some(Some(pool)) = declared.pool.get(&stage.pool) else { return };
+        if stage.idempotent == Some(false) && pool.idempotent {
+            let message = format!(
+                "`false` needs a pool with `idempotent = false`; `{}` has `true`",
+                stage.pool
+            );
+            self.report(&extend(place, "idempotent"), message);
+        }
+        if !stage.idempotent.unwrap_or(pool.idempotent) && pool.kind == PoolKind::Engine {
+            let message = "an engine's calls are idempotent; set `idempotent = true`".to_owned();
+            self.report(&extend(place, "pool"), message);
+        }
+    }
+
+    fn check_customers(&mut self, declared: &Lenient) {
+        let mut tokens = BTreeMap::new();
+        for (name, customer) in fitting(&declared.customer) {
+            let place = path(&["customer", name, "token_sha256"]);
+            let token = &customer.token_sha256;
+            if token.len() != 64 || !token.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f')) {
+                let message = format!(
+                    "`{token}` is no SHA-256; accepted: 64 digits of lower-case hexadecimal"
+                );
+                self.report(&place, message);
+            }
+            if let Some(other) = tokens.insert(token, name) {
+                self.report(
+                    &place,
+                    format!("the same token as customer `{other}`; each needs its own"),
+                );
+            }
+        }
+    }
+}
+
+/// Items that fit the schema.
+fn fitting<T>(items: &Items<T>) -> impl Iterator<Item = (&String, &T)> {
+    items.iter().filter_map(|(name, item)| Some((name, item.as_ref()?)))
+}
+
+fn unknown_name<'a>(kind: &str, found: &str, known: impl Iterator<Item = &'a String>) -> String {
+    let known: Vec<&str> = known.map(String::as_str).collect();
+    format!("{kind} `{found}` is not declared; declared: {}", known.join(", "))
+}
