--- a/crates/marigold/src/bin/marigold-load.rs
+++ b/crates/marigold/src/bin/marigold-load.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context as _;
 use bpaf::Bpaf;
-use marigold::measure::{capacity, overhead, policy, recovery};
+use marigold::measure::{capacity, overhead, policy, recovery, tokens};
 use marigold_load::drive::Driver;
 use marigold_load::experiment::Experiment;
 use marigold_load::{arrivals, plot, report};
@@ -54,6 +54,19 @@
         #[bpaf(argument("FOLDER"), fallback("target/release".into()))]
         binaries: PathBuf,
     },
+    /// Measure what tokens cost
+    #[bpaf(command)]
+    Tokens {
+        /// Streams at a time
+        #[bpaf(argument("N"), fallback(256), display_fallback)]
+        streams: usize,
+        /// Length in seconds
+        #[bpaf(argument("S"), fallback(8), display_fallback)]
+        length_s: u64,
+        /// Folder with the binaries
+        #[bpaf(argument("FOLDER"), fallback("target/release".into()))]
+        binaries: PathBuf,
+    },
     /// Measure how long recovery takes, and how hard it calls the platform
     #[bpaf(command)]
     Recovery {
@@ -133,6 +146,10 @@
             })
             .await
         }
+        Options::Tokens { streams, length_s, binaries } => {
+            let length = Duration::from_secs(length_s);
+            tokens::run(&tokens::Options { binaries, streams, length }).await
+        }
         Options::Recovery { entries, targets, outage_s, binaries } => {
             let outage = Duration::from_secs(outage_s);
             recovery::run(&recovery::Options { binaries, entries, targets, outage }).await
--- a/crates/marigold/src/measure.rs
+++ b/crates/marigold/src/measure.rs
@@ -6,3 +6,4 @@
 mod proc;
 pub mod recovery;
 mod slope;
+pub mod tokens;
--- /dev/null
+++ b/crates/marigold/src/measure/tokens.rs
@@ -0,0 +1,76 @@
+//! What tokens cost an entry and an agent.
+
+use std::time::{Duration, Instant};
+
+use marigold_testbed::bed::Bed;
+use marigold_testbed::plan::{Binaries, Plan};
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use super::proc;
+
+/// Options of the measurement.
+pub struct Options {
+    /// Folder with the binaries.
+    pub binaries: std::path::PathBuf,
+    /// Streams at a time.
+    pub streams: usize,
+    /// Length of the measurement.
+    pub length: Duration,
+}
+
+/// Keeps streams running through one entry and prints tokens a second and processor time a token.
+///
+/// # Errors
+/// A process that cannot be measured.
+pub async fn run(options: &Options) -> anyhow::Result<()> {
+    let at = |name: &str| options.binaries.join(name);
+    let binaries = Binaries {
+        entry: at("marigold-entry"),
+        agent: at("marigold-agent"),
+        standin: at("marigold-standin"),
+    };
+    let mut plan = Plan::streams(1);
+    plan.pools.retain(|pool| pool.kind == "engine");
+    (plan.pools[0].targets, plan.pools[0].duration_ms) = (8, 1.0);
+    plan.pools[0].extra = "concurrency = 64";
+    plan.pipelines = "[pipeline.tell]\ndeadline_ms = 60000\nmax_tokens = 256\nstages = [{ name = \"generate\", pool = \"assistants\" }]\n";
+    let mut bed = Bed::start(binaries, &plan, "tokens").await;
+    let entry_pid = bed.process("entry-0").id();
+    let agent_pid = bed.process("agent-assistants-0").id();
+    let (entry, agent, started) =
+        (proc::usage(entry_pid)?, proc::usage(agent_pid)?, Instant::now());
+    let mut running = JoinSet::new();
+    for stream in 0..options.streams {
+        let (client, length) = (bed.entries[0].clone(), options.length);
+        running.spawn(async move {
+            let (mut tokens, mut failed) = (0, 0);
+            while started.elapsed() < length {
+                let answer = client.run("tell", &json!({ "stream": stream }), None, None).await;
+                tokens += answer.body["tokens"].as_u64().unwrap_or(0);
+                failed += u64::from(!answer.is_done());
+            }
+            (tokens, failed)
+        });
+    }
+    let (tokens, failed) = running
+        .join_all()
+        .await
+        .into_iter()
+        .fold((0, 0), |(t, f), (tokens, failed)| (t + tokens, f + failed));
+    let elapsed = started.elapsed().as_secs_f64();
+    let cpu = |before: proc::Usage, pid| -> anyhow::Result<f64> {
+        Ok((proc::usage(pid)?.cpu - before.cpu).as_secs_f64())
+    };
+    let (entry_cpu, agent_cpu) = (cpu(entry, entry_pid)?, cpu(agent, agent_pid)?);
+    println!(
+        "{} streams, 8 engines: {:.0} tokens/s, {failed} failed; entry {:.2} cores, {:.1} us a token; agent {:.1} us a token",
+        options.streams,
+        tokens as f64 / elapsed,
+        entry_cpu / elapsed,
+        1e6 * entry_cpu / tokens.max(1) as f64,
+        8e6 * agent_cpu / tokens.max(1) as f64
+    );
+    println!("entry: {:.1} MB resident", proc::usage(entry_pid)?.resident as f64 / 1e6);
+    Ok(())
+}
--- a/crates/model/src/search.rs
+++ b/crates/model/src/search.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::hash::Hash;
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 
 use xxhash_rust::xxh3::Xxh3;
@@ -9,6 +10,9 @@
 /// States above which a search is given up, so that it cannot use up the memory.
 const MAX_STATES: usize = 6_000_000;
 
+/// Held by the search that runs: each uses all cores and much memory.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// What a search reached.
 pub(crate) struct Reached<S> {
     pub(crate) states: usize,
@@ -57,6 +61,8 @@
     successors: impl Fn(&S) -> Vec<S> + Sync,
     is_found: impl Fn(&S) -> bool,
 ) -> Reached<S> {
+    // A search that panicked leaves nothing behind that others would use.
+    let _running = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let mut seen = HashSet::from([fingerprint(&start)]);
     let mut level = vec![start];
     let mut depth = 0;
