--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -43,6 +43,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Attempts {
     states: BTreeMap<AttemptKey, State>,
+    running: usize,
     forgotten: BTreeMap<Name, Forgotten>,
 }
 
@@ -53,12 +54,14 @@
             return false;
         }
         self.states.insert(key, State::Running);
+        self.running += 1;
         true
     }
 
     /// Records the end of an attempt.
     pub fn finish(&mut self, key: AttemptKey, outcome: Outcome, now: Uptime) {
-        self.states.insert(key, State::Finished { outcome, at: now });
+        let before = self.states.insert(key, State::Finished { outcome, at: now });
+        self.running -= usize::from(before == Some(State::Running));
     }
 
     /// Tells what became of an attempt and fences off one that was never seen.
@@ -80,7 +83,7 @@
 
     /// Number of attempts that are running.
     pub fn running(&self) -> usize {
-        self.states.values().filter(|state| matches!(state, State::Running)).count()
+        self.running
     }
 
     /// Whether an attempt that is not kept may have been seen.
--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -104,9 +104,11 @@
     assert!(!attempts.start(key(1)), "a fenced attempt never starts");
     assert!(attempts.start(key(2)));
     assert!(!attempts.start(key(2)), "an attempt starts once");
+    assert_eq!(attempts.running(), 1);
     assert_eq!(attempts.settle(key(2), T0), Settled::Running);
     attempts.finish(key(2), Outcome::Done(answer()), T0);
     assert_eq!(attempts.settle(key(2), T0), Settled::Finished(Outcome::Done(answer())));
+    assert_eq!(attempts.running(), 0);
     attempts.expire(KEEP_FINISHED);
     assert!(!attempts.contains(&key(2)));
 }
--- a/crates/marigold/src/measure/capacity.rs
+++ b/crates/marigold/src/measure/capacity.rs
@@ -31,15 +31,6 @@
     pub length: Duration,
 }
 
-fn binaries(options: &Options) -> Binaries {
-    let at = |name: &str| options.binaries.join(name);
-    Binaries {
-        entry: at("marigold-entry"),
-        agent: at("marigold-agent"),
-        standin: at("marigold-standin"),
-    }
-}
-
 fn plan(entries: usize, targets: usize, customers: usize) -> Plan {
     let mut plan = Plan::small();
     plan.entries = entries;
@@ -111,9 +102,12 @@
     let length = options.length;
     let mut points = Vec::new();
     for targets in [2, 10, 40, 120] {
-        let mut bed =
-            Bed::start(binaries(options), &plan(1, targets, 0), &format!("cap-targets-{targets}"))
-                .await;
+        let mut bed = Bed::start(
+            Binaries::in_folder(&options.binaries),
+            &plan(1, targets, 0),
+            &format!("cap-targets-{targets}"),
+        )
+        .await;
         tokio::time::sleep(SETTLE).await;
         points.push(measure_entry(&mut bed, targets as f64, length).await?);
     }
@@ -121,9 +115,12 @@
 
     let (mut by_peers, mut agents) = (Vec::new(), Vec::new());
     for entries in [1, 2, 4, 8] {
-        let mut bed =
-            Bed::start(binaries(options), &plan(entries, 2, 0), &format!("cap-entries-{entries}"))
-                .await;
+        let mut bed = Bed::start(
+            Binaries::in_folder(&options.binaries),
+            &plan(entries, 2, 0),
+            &format!("cap-entries-{entries}"),
+        )
+        .await;
         tokio::time::sleep(SETTLE).await;
         let pid = bed.process("agent-encoders-0").id();
         let (before, started) = (proc::usage(pid)?, Instant::now());
@@ -143,7 +140,7 @@
     let mut points = Vec::new();
     for customers in [5, 50, 500, 4_700] {
         let mut bed = Bed::start(
-            binaries(options),
+            Binaries::in_folder(&options.binaries),
             &plan(1, 2, customers),
             &format!("cap-customers-{customers}"),
         )
@@ -157,7 +154,8 @@
 
 /// Measures entries while customers are changed at a rate.
 async fn measure_changes(options: &Options) -> anyhow::Result<()> {
-    let mut bed = Bed::start(binaries(options), &plan(3, 2, 4_700), "cap-changes").await;
+    let mut bed =
+        Bed::start(Binaries::in_folder(&options.binaries), &plan(3, 2, 4_700), "cap-changes").await;
     tokio::time::sleep(SETTLE).await;
     let (mut points, mut slowest) = (Vec::new(), Duration::ZERO);
     for rate in [0.0, 1.0, 4.0, 16.0] {
--- a/crates/marigold/src/measure/overhead.rs
+++ b/crates/marigold/src/measure/overhead.rs
@@ -78,12 +78,7 @@
 /// # Errors
 /// A process that cannot be measured.
 pub async fn run(options: &Options) -> anyhow::Result<()> {
-    let at = |name: &str| options.binaries.join(name);
-    let binaries = Binaries {
-        entry: at("marigold-entry"),
-        agent: at("marigold-agent"),
-        standin: at("marigold-standin"),
-    };
+    let binaries = Binaries::in_folder(&options.binaries);
     let mut plan = Plan::small();
     plan.entries = 1;
     plan.pools.retain(|pool| pool.name == "encoders");
--- a/crates/marigold/src/measure/recovery.rs
+++ b/crates/marigold/src/measure/recovery.rs
@@ -78,12 +78,7 @@
 /// # Errors
 /// A platform that cannot be asked.
 pub async fn run(options: &Options) -> anyhow::Result<()> {
-    let at = |name: &str| options.binaries.join(name);
-    let binaries = Binaries {
-        entry: at("marigold-entry"),
-        agent: at("marigold-agent"),
-        standin: at("marigold-standin"),
-    };
+    let binaries = Binaries::in_folder(&options.binaries);
     let mut plan = Plan::small();
     plan.entries = options.entries;
     plan.shared_targets = true;
--- a/crates/marigold/src/measure/tokens.rs
+++ b/crates/marigold/src/measure/tokens.rs
@@ -24,12 +24,7 @@
 /// # Errors
 /// A process that cannot be measured.
 pub async fn run(options: &Options) -> anyhow::Result<()> {
-    let at = |name: &str| options.binaries.join(name);
-    let binaries = Binaries {
-        entry: at("marigold-entry"),
-        agent: at("marigold-agent"),
-        standin: at("marigold-standin"),
-    };
+    let binaries = Binaries::in_folder(&options.binaries);
     let mut plan = Plan::streams(1);
     plan.pools.retain(|pool| pool.kind == "engine");
     (plan.pools[0].targets, plan.pools[0].duration_ms) = (8, 1.0);
--- a/crates/marigold/tests/command_line.rs
+++ b/crates/marigold/tests/command_line.rs
@@ -69,7 +69,7 @@
     marigold: 5 mistakes:
       customers.toml:5: `customer.weighbridge.weight`: 0 is less than the minimum of 1
       pipelines.toml:40: `pipeline.issue-ticket.stages.0.pool`: pool `ticket` is not declared; declared: archive, assistants, dispatch, encoders, invoicing, rerankers, retrievers, tickets
-      pools.toml:5: `pool.encoders.concurency`: unknown key `concurency`; accepted: call_price_micros, checks_fencing, concurrency, idempotent, key_shards, kind, licence_term_s, reports_load, retention_s, token_price_micros
+      pools.toml:5: `pool.encoders.concurency`: unknown key `concurency`; accepted: call_price_micros, checks_fencing, concurrency, idempotent, key_shards, kind, licence_term_s, load_s, model, reports_load, retention_s, token_price_micros
       targets.toml:6: `target.encoders-1.address`: `localhost` is no address; accepted: IP:PORT, such as 10.0.0.7:7400
       targets.toml:10: `target.encoders-2.data_centre`: data centre `galatz` is not declared; declared: braila, focsani, galati
     "#);
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use marigold_core::digest;
 
@@ -17,6 +17,17 @@
     pub standin: PathBuf,
 }
 
+impl Binaries {
+    /// The binaries in a folder.
+    pub fn in_folder(folder: &Path) -> Binaries {
+        Binaries {
+            entry: folder.join("marigold-entry"),
+            agent: folder.join("marigold-agent"),
+            standin: folder.join("marigold-standin"),
+        }
+    }
+}
+
 /// The binaries that cargo built for the calling test.
 #[macro_export]
 macro_rules! binaries {
