A holder that lost its licence learns it from a hint; tests take ports that no connection uses

Under load a first hint moved a shard to an agent that was not first in line; the old holder offered its licence until its next renewal, and entries linked to it alone neither sent (sealed) nor knew whom to ask.

Ruled out: shorter renewals (16 writes a second become 160).

Now a hint to a holder makes it look at its record; only the first in line that is not known to be dead is asked to take; calls are passed on along the same line. Ports of tests lie below those of outgoing connections.

--- a/crates/agent/src/licences.rs
+++ b/crates/agent/src/licences.rs
@@ -236,7 +236,7 @@
     live: &BTreeSet<Member>,
 ) -> Result<(), Error> {
     let now = shared.now();
-    let due: Vec<Shard> = {
+    let due: BTreeSet<Shard> = {
         let tables = shared.tables.lock();
         let due = tables
             .holdings
--- a/crates/entry/src/homes.rs
+++ b/crates/entry/src/homes.rs
@@ -24,9 +24,9 @@
 /// Time between two such requests.
 const HINT_EVERY: Duration = Duration::from_secs(1);
 /// Peers that are asked to pass a call on.
-const FORWARD_PEERS: usize = 4;
+const FORWARD_PEERS: usize = 9;
 /// Agents, first in line for a shard, whose entries are asked when no home is known.
-const LIKELY_HOMES: usize = 2;
+const LIKELY_HOMES: usize = 3;
 
 /// How a keyed call ended.
 pub(crate) enum KeyedEnd {
@@ -117,18 +117,29 @@
     forward(shared, pool, key, &via, call).await
 }
 
+/// Targets in line for a shard, without those that are known to take no work.
+fn in_line(shared: &Shared, pool: &PoolView, shard: Shard) -> Vec<Name> {
+    let now = shared.now();
+    let targets = shared.targets.load();
+    let ranked = rendezvous::rank(&format!("{}/{shard}", pool.name), pool.targets.keys());
+    let takes_work = |name: &Name| targets.get(name).is_none_or(|handle| handle.is_usable(now));
+    ranked.into_iter().filter(|name| takes_work(name)).cloned().collect()
+}
+
 /// Entries that link to the agents that are first in line for a shard.
 fn likely_enrolled(shared: &Shared, pool: &PoolView, shard: Shard) -> Vec<String> {
     let entries = targets::entry_addresses(shared);
-    let ranked = rendezvous::rank(&format!("{}/{shard}", pool.name), pool.targets.keys());
     let mut likely = Vec::new();
-    for target in ranked.into_iter().take(LIKELY_HOMES) {
+    for target in in_line(shared, pool, shard).iter().take(LIKELY_HOMES) {
         let linked = entries
             .iter()
             .filter(|entry| rendezvous::is_linked(target, entry, &entries, LINKS_PER_TARGET));
-        likely.extend(linked.filter(|entry| **entry != shared.member.address).cloned());
+        for entry in linked.filter(|entry| **entry != shared.member.address) {
+            if !likely.contains(entry) {
+                likely.push(entry.clone());
+            }
+        }
     }
-    likely.dedup();
     likely
 }
 
@@ -212,21 +223,21 @@
     send_home(shared, &forward.pool, &key, &home, forward.call).await.unwrap_or(not_enrolled)
 }
 
-/// Asks the best live agent to take the licence of a shard without a reachable home.
+/// Asks an agent to look at a shard without a reachable home: the one that offers the licence, which may have lost it,
+/// or else the first in line, which may take it.
 async fn hint(shared: &Shared, pool: &PoolView, shard: Shard, home: Option<&Home>) {
-    let targets = shared.targets.load_full();
-    let now = shared.now();
-    let ranked = rendezvous::rank(&format!("{}/{shard}", pool.name), pool.targets.keys());
-    let usable = ranked
-        .into_iter()
-        .filter_map(|name| targets.get(name).filter(|handle| handle.is_usable(now)));
-    let Some(next) = usable.into_iter().next() else { return };
+    let offering = home.map(|home| home.handle.clone());
+    let offering = offering.filter(|handle| handle.is_usable(shared.now()));
+    let first = in_line(shared, pool, shard).into_iter().next();
+    // An agent that this entry has no link to is asked by the entries that have one.
+    let linked = first.and_then(|name| shared.targets.load().get(&name).cloned());
+    let Some(next) = offering.or(linked) else { return };
     let epoch = home.map_or(0, |home| home.epoch);
     tracing::info!(
         shard,
         epoch,
         target = next.name,
-        "home of a shard is not reachable; another agent is asked"
+        "home of a shard is not reachable; an agent is asked"
     );
     let req = Request::TakeHint(TakeHint { shard, epoch });
     let _ = next.peer.request(&req, Duration::from_millis(500)).await;
--- a/crates/entry/tests/crossed_replies.rs
+++ b/crates/entry/tests/crossed_replies.rs
@@ -1,7 +1,7 @@
 //! An entry against a fake agent whose replies are crossed, doubled, late and cut.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 };
 use marigold_schema::settings::EntrySettings;
 use marigold_standin::platform;
+use marigold_testbed::process::free_addr;
 use serde_json::{Value, json};
 
 const SECRET: &str = "a-secret-for-the-test";
@@ -78,10 +79,6 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn declarations(agent: SocketAddr) -> String {
     let token = digest::sha256_hex("customer");
     format!(
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -3,12 +3,28 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-/// A free loopback address.
+/// First port given out; those from [`END_PORT`] on are left to outgoing connections.
+const FIRST_PORT: u32 = 10_000;
+/// End of the ports given out.
+const END_PORT: u32 = 32_000;
+/// Serial of the next port to try.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// A free loopback address, given out once in a round through the ports.
 pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("a bound listener has an address")
+    // Processes start at different ports, so that two test programs hardly meet.
+    let offset = std::process::id().wrapping_mul(977);
+    loop {
+        let serial = NEXT_PORT.fetch_add(1, Ordering::SeqCst).wrapping_add(offset);
+        let port = FIRST_PORT + serial % (END_PORT - FIRST_PORT);
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// A child process, killed when dropped.
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -9,6 +9,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::process;
+
 /// Which bytes of a connection are swallowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Silence {
@@ -38,7 +40,8 @@
 impl Relay {
     /// Listens on a free loopback address and passes connections on to `target`.
     pub async fn spawn(target: SocketAddr) -> Relay {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+        let listener =
+            TcpListener::bind(process::free_addr()).await.expect("the port was just free");
         let addr = listener.local_addr().expect("a bound listener has an address");
         let control = Arc::new(Control::default());
         let shared = control.clone();
