--- a/crates/gateway/src/broker.rs
+++ b/crates/gateway/src/broker.rs
@@ -30,13 +30,8 @@
 const MAX_TRIES: u8 = 4;
 /// Pause after a target refused a call because another caller keeps it busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
-/// Time for which room is taken as used by results that this gateway does not know of, unless a report tells more:
-/// about the time for which results are needed.
+/// Time in which room that others have taken up is freed bit by bit: about the time for which results are needed.
 const UNKNOWN_TIME: Duration = Duration::from_millis(1_500);
-/// Time between two reports of a target with such results: a report is some hundred milliseconds old when it arrives.
-const REPORT_EVERY: Duration = Duration::from_millis(300);
-/// Time for a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which results are gathered before a target is told to free them: a small part of the time for which they
 /// are needed, since room for them limits how much a target can run.
 const RELEASE_EVERY: Duration = Duration::from_millis(20);
@@ -137,11 +132,9 @@
     results: HashMap<String, (u64, Uptime)>,
     /// Results of calls in progress, in bytes.
     expected_bytes: u64,
-    /// Room taken by results that this gateway does not know of, in bytes: those of another owner of the pool.
-    unknown_bytes: u64,
-    /// When that was found out.
-    unknown_at: Uptime,
-    is_asked_for_report: bool,
+    /// Room taken by results that this gateway does not know of, in bytes, as found out by a piece without room, and
+    /// until when that is believed.
+    unknown: (u64, Uptime),
     releases: Vec<String>,
 }
 
@@ -154,30 +147,12 @@
     }
 
     fn used(&mut self, now: Uptime) -> u64 {
-        if now >= self.unknown_at + UNKNOWN_TIME {
-            self.unknown_bytes = 0;
-        }
-        self.known_bytes(now) + self.unknown_bytes
-    }
-
-    fn known_bytes(&mut self, now: Uptime) -> u64 {
         self.results.retain(|_, (_, ends)| *ends > now);
-        self.results.values().map(|(bytes, _)| bytes).sum::<u64>() + self.expected_bytes
-    }
-
-    /// Notes that `free` bytes are left of `room`.
-    fn on_room(&mut self, room: u64, free: u64, now: Uptime) {
-        self.unknown_bytes = room.saturating_sub(free).saturating_sub(self.known_bytes(now));
-        self.unknown_at = now;
-    }
-
-    /// Whether a report is wanted, to learn when results of others are gone.
-    fn starts_report(&mut self, now: Uptime) -> bool {
-        let is_wanted = self.unknown_bytes > 0
-            && now >= self.unknown_at + REPORT_EVERY
-            && !self.is_asked_for_report;
-        self.is_asked_for_report |= is_wanted;
-        is_wanted
+        let (unknown, until) = self.unknown;
+        let left = until.saturating_sub(now).as_secs_f64() / UNKNOWN_TIME.as_secs_f64();
+        let known =
+            self.results.values().map(|(bytes, _)| bytes).sum::<u64>() + self.expected_bytes;
+        known + (unknown as f64 * left) as u64
     }
 }
 
@@ -292,9 +267,6 @@
             return;
         }
         let slot = state.slots.entry(place.target.id.clone()).or_default();
-        if slot.starts_report(now) {
-            tokio::spawn(ask_room(shared.clone(), place.clone(), spec.room, slot.client(&place)));
-        }
         let offer = Offer {
             data_centre: &place.target.data_centre,
             centres: &centres,
@@ -411,10 +383,8 @@
         slot.expected_bytes = slot
             .expected_bytes
             .saturating_sub(tickets.iter().map(|ticket| ticket.job.ask.result_bytes).sum());
-        let made = results.iter().flatten().filter(|result| result.is_ok()).count();
         match outcome {
-            "done" if made > 0 => {
-                let expected = spec.duration(made);
+            "done" => {
                 let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
                 slot.stretch = if slot.stretch == 0.0 {
                     ratio
@@ -453,9 +423,8 @@
             }
         }
         if !has_room {
-            slot.on_room(spec.room, 0, now);
-            slot.is_asked_for_report = true;
-            tokio::spawn(ask_room(shared.clone(), place.clone(), spec.room, slot.client(&place)));
+            slot.unknown = (0, now);
+            slot.unknown = (spec.room.saturating_sub(slot.used(now)), now + UNKNOWN_TIME);
         }
     }
     release(&shared, &pool, unused);
@@ -466,45 +435,6 @@
     }
 }
 
-/// Learns how much room a target has left.
-async fn ask_room<D: Dialect, S: Store>(
-    shared: Arc<Shared<D, S>>,
-    place: Arc<Place>,
-    room: u64,
-    client: Arc<Client>,
-) {
-    let mut req = Request::new(Bytes::new());
-    *req.uri_mut() = Uri::from_static(D::REPORT_PATH);
-    D::call_headers(req.headers_mut(), &place.target.id);
-    let reply = client.exchange(req, true, REPORT_TIMEOUT, MAX_REPLY).await;
-    let free = match &reply {
-        Ok(reply) => D::free_room(reply.body()).map_err(|err| err.to_string()),
-        Err(err) => Err(err.to_string()),
-    };
-    let pool = &place.target.pool;
-    {
-        let now = boottime::now();
-        let mut pools = shared.broker.pools.lock();
-        let state = pools.entry(pool.clone()).or_default();
-        let slot = state.slots.entry(place.target.id.clone()).or_default();
-        slot.is_asked_for_report = false;
-        match free {
-            Ok(free) => slot.on_room(room, free, now),
-            // What is unknown is then forgotten after a while.
-            Err(err) => tracing::debug!(target = place.target.id, err, "no report of a target"),
-        }
-        let (known_bytes, unknown_bytes) = (slot.known_bytes(now), slot.unknown_bytes);
-        tracing::info!(
-            target = place.target.id,
-            pool,
-            known_bytes,
-            unknown_bytes,
-            "room of a target"
-        );
-    }
-    dispatch(&shared, pool);
-}
-
 fn longest_wait(tickets: &[Ticket], sent: Uptime) -> Duration {
     let since = tickets.iter().map(|ticket| ticket.job.queued_at).min();
     since.map_or(Duration::ZERO, |since| sent.saturating_sub(since))
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -117,8 +117,6 @@
     const STAGE_PATH: &'static str;
     /// Path of a call that frees results.
     const RELEASE_PATH: &'static str;
-    /// Path of a target's report of its load.
-    const REPORT_PATH: &'static str;
 
     /// Reads the headers of a caller's request.
     ///
@@ -148,12 +146,6 @@
     /// Body of a call that frees results.
     fn release_call(handles: &[String]) -> Bytes;
 
-    /// Memory for results that a target has left, in bytes, by its report.
-    ///
-    /// # Errors
-    /// [`Malformed`] when the body is not such a report.
-    fn free_room(body: &[u8]) -> Result<u64>;
-
     /// Address of the target that keeps a result.
     fn maker(handle: &str) -> Option<std::net::SocketAddr>;
 
