A restarted gateway does not take its pools back at once

Change: core::ownership leaves out gateways that started less than 30 s ago, unless those that are settled have less than half of the processor time (all lost power). A gateway tells in its facts whether it is settled; the settings say whether the whole system starts for the first time.

Ruled out: reports of the targets' free memory (whole millions of bytes).

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -4,6 +4,7 @@
 //! may send calls to the same pool: batches are smaller then, and nothing else is lost.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::ids::Name;
 use crate::rendezvous;
@@ -15,10 +16,32 @@
     pub name: Name,
     /// Processor time that it may use, in cores.
     pub weight: f64,
+    /// Whether it has run for [`SETTLING`], or since the whole system started.
+    pub is_settled: bool,
 }
 
-/// The owner of each pool, by name: pools are spread in proportion to the candidates' weights.
+/// Time for which a gateway that was started again takes on no work for others: each move of a pool costs the calls in
+/// progress, and the new owner does not know what fills the targets. Machines that are restarted in turn, as in an
+/// upgrade, would take their pools back one by one.
+pub const SETTLING: Duration = Duration::from_secs(30);
+
+/// The settled candidates, or all while those have less than half of the processor time.
+fn eligible(candidates: &[Candidate]) -> Vec<&Candidate> {
+    let weight = |wanted: &dyn Fn(&Candidate) -> bool| -> f64 {
+        candidates
+            .iter()
+            .filter(|candidate| wanted(candidate))
+            .map(|candidate| candidate.weight)
+            .sum()
+    };
+    let is_enough = 2.0 * weight(&|candidate| candidate.is_settled) >= weight(&|_| true);
+    candidates.iter().filter(|candidate| candidate.is_settled || !is_enough).collect()
+}
+
+/// The owner of each pool, by name: pools are spread in proportion to the candidates' weights, over those that are
+/// settled.
 pub fn owners(pools: &[Name], candidates: &[Candidate]) -> BTreeMap<Name, Name> {
+    let candidates = eligible(candidates);
     let mut owned = vec![0.0; candidates.len()];
     let mut sorted: Vec<&Name> = pools.iter().collect();
     sorted.sort();
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -9,7 +9,11 @@
 fn candidates(weights: &[f64]) -> Vec<Candidate> {
     let named = weights.iter().enumerate();
     named
-        .map(|(number, weight)| Candidate { name: format!("gateway{number}"), weight: *weight })
+        .map(|(number, weight)| Candidate {
+            name: format!("gateway{number}"),
+            weight: *weight,
+            is_settled: true,
+        })
         .collect()
 }
 
@@ -38,6 +42,32 @@
     assert!(owners.values().all(|owner| large.contains(&owner.as_str())), "{owners:?}");
 }
 
+/// An owner is killed and comes back after a second: its pool moves once, not twice.
+#[test]
+fn owners_restarted_gateway_does_not_take_its_pool_back() {
+    let mut members = candidates(&[0.2; 5]);
+    let owner = ownership::owners(&pools(1), &members)["pool0"].clone();
+    let is_owner = |member: &Candidate| member.name == owner;
+    let others: Vec<Candidate> = members.iter().filter(|m| !is_owner(m)).cloned().collect();
+    let successor = ownership::owners(&pools(1), &others)["pool0"].clone();
+    members.iter_mut().filter(|m| is_owner(m)).for_each(|m| m.is_settled = false);
+    assert_eq!(ownership::owners(&pools(1), &members)["pool0"], successor);
+}
+
+/// All machines lose power: nobody is settled afterwards, and the pools need owners at once.
+#[test]
+fn owners_all_restarted_all_are_eligible() {
+    let members = candidates(&[0.2; 4]);
+    let restarted = |settled: usize| -> Vec<Candidate> {
+        let numbered = members.iter().cloned().enumerate();
+        numbered.map(|(i, m)| Candidate { is_settled: i < settled, ..m }).collect()
+    };
+    assert_eq!(ownership::owners(&pools(4), &restarted(0)), ownership::owners(&pools(4), &members));
+    assert_eq!(ownership::owners(&pools(4), &restarted(1)), ownership::owners(&pools(4), &members));
+    let owners = ownership::owners(&pools(4), &restarted(2));
+    assert!(owners.values().all(|owner| ["gateway0", "gateway1"].contains(&owner.as_str())));
+}
+
 #[test]
 fn owners_without_members_there_are_none() {
     assert!(ownership::owners(&pools(3), &[]).is_empty());
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -219,7 +219,7 @@
             let entry = serde_json::from_str::<GatewayEntry>(&text);
             match entry.map(|entry| (entry.address.parse(), entry)) {
                 Ok((Ok(addr), entry)) => {
-                    shared.members.put(object.name, entry.incarnation, addr, entry.weight);
+                    shared.members.put(object.name, &entry, addr);
                 }
                 Ok((Err(err), _)) => {
                     tracing::warn!(member = object.name, %err, "address of a gateway cannot be read")
@@ -247,6 +247,7 @@
         incarnation: shared.incarnation,
         address: settings.link_address.clone(),
         weight: settings.weight,
+        settled: settings.first_start,
     };
     let text = match serde_json::to_string(&entry) {
         Ok(text) => text,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use marigold_core::ownership::Candidate;
 use marigold_link::security::Security;
 use marigold_link::server::Server as LinkServer;
 use marigold_objects::Store;
+use marigold_process::boottime;
 use marigold_schema::settings::GatewaySettings;
 use tokio::sync::watch;
 use tokio::time;
@@ -50,10 +50,7 @@
         let link_address: SocketAddr = settings.link_address.parse().with_context(|| {
             format!("link_address `{}` is no IP address and port", settings.link_address)
         })?;
-        let members = Members::new(
-            Candidate { name: settings.name.clone(), weight: settings.weight },
-            security.clone(),
-        );
+        let members = Members::new(&settings, security.clone(), boottime::now());
         let shared = Arc::new(Shared::<D, S>::new(settings, store, members, Metrics::open()?));
         let close = watch::Sender::new(false);
         let settings = shared.settings();
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -5,10 +5,12 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use marigold_core::ids::{Incarnation, Name};
+use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::ownership::{self, Candidate};
 use marigold_link::peer::Peer;
 use marigold_link::security::Security;
+use marigold_schema::messages::{GatewayEntry, GatewayFacts};
+use marigold_schema::settings::GatewaySettings;
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom as _;
 
@@ -16,6 +18,8 @@
 const SILENT_LIMIT: u32 = 2;
 /// Gateways that watch the configuration for all; one may fail without a gap.
 const WATCHERS: usize = 2;
+/// Gateways never heard that are asked at a time: all of the deployments' within a second or two.
+const UNHEARD: usize = 8;
 
 /// Another gateway.
 #[derive(Clone)]
@@ -26,12 +30,20 @@
     weight: f64,
     silent: u32,
     is_leaving: bool,
+    is_settled: bool,
+    /// Whether it ever answered; until then only its entry in the store tells whether it is settled.
+    is_heard: bool,
 }
 
 impl Member {
     fn is_alive(&self) -> bool {
         self.silent < SILENT_LIMIT && !self.is_leaving
     }
+
+    fn candidate(&self) -> Candidate {
+        let (name, weight) = (self.name.clone(), self.weight);
+        Candidate { name, weight, is_settled: self.is_settled }
+    }
 }
 
 /// Who gathers the calls to a pool.
@@ -47,11 +59,15 @@
 struct State {
     others: BTreeMap<Name, Member>,
     pools: Vec<Name>,
+    /// Whether this gateway is settled.
+    is_settled: bool,
 }
 
 /// All gateways.
 pub(crate) struct Members {
-    own: Candidate,
+    name: Name,
+    weight: f64,
+    started: Uptime,
     security: Arc<Security>,
     state: Mutex<State>,
     /// Pools that another gateway owns; all others are this gateway's own.
@@ -59,26 +75,58 @@
 }
 
 impl Members {
-    pub(crate) fn new(own: Candidate, security: Arc<Security>) -> Self {
-        Self { own, security, state: Mutex::default(), owners: ArcSwap::default() }
+    /// Knows only this gateway; it is settled from the start when the whole system starts for the first time.
+    pub(crate) fn new(settings: &GatewaySettings, security: Arc<Security>, now: Uptime) -> Self {
+        let state = State { is_settled: settings.first_start, ..State::default() };
+        Self {
+            name: settings.name.clone(),
+            weight: settings.weight,
+            started: now,
+            security,
+            state: Mutex::new(state),
+            owners: ArcSwap::default(),
+        }
+    }
+
+    /// Whether this gateway takes on work for others.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.state.lock().is_settled
+    }
+
+    /// Counts this gateway as settled once it has run long enough.
+    pub(crate) fn settle(&self, now: Uptime) {
+        let mut state = self.state.lock();
+        if !state.is_settled && now >= self.started + ownership::SETTLING {
+            tracing::info!("this gateway takes on work for others from now on");
+            state.is_settled = true;
+            self.reassign(&state);
+        }
     }
 
     /// Takes in a gateway; one that is known in this incarnation stays as it is.
-    pub(crate) fn put(&self, name: Name, incarnation: Incarnation, addr: SocketAddr, weight: f64) {
+    pub(crate) fn put(&self, name: Name, entry: &GatewayEntry, addr: SocketAddr) {
+        let GatewayEntry { incarnation, weight, settled: is_settled, .. } = *entry;
         let mut state = self.state.lock();
         let is_known = state
             .others
             .get(&name)
             .is_some_and(|known| known.incarnation == incarnation && known.peer.addr() == addr);
-        if name == self.own.name || is_known {
+        if name == self.name || is_known {
             return;
         }
         tracing::info!(member = name, incarnation, %addr, "gateway joined");
         let peer = Arc::new(Peer::new(addr, self.security.clone()));
-        state.others.insert(
-            name.clone(),
-            Member { name, incarnation, peer, weight, silent: 0, is_leaving: false },
-        );
+        let member = Member {
+            name: name.clone(),
+            incarnation,
+            peer,
+            weight,
+            silent: 0,
+            is_leaving: false,
+            is_settled,
+            is_heard: false,
+        };
+        state.others.insert(name, member);
         self.reassign(&state);
     }
 
@@ -102,10 +150,12 @@
     }
 
     /// Notes that a gateway answered.
-    pub(crate) fn on_answer(&self, name: &str, is_leaving: bool) {
-        self.change(name, "gateway answers", |member| {
+    pub(crate) fn on_answer(&self, facts: &GatewayFacts) {
+        self.change(&facts.name, "gateway answers", |member| {
             member.silent = 0;
-            member.is_leaving = is_leaving;
+            member.is_leaving = facts.leaving;
+            member.is_settled = facts.settled;
+            member.is_heard = true;
         });
     }
 
@@ -126,12 +176,13 @@
     fn change(&self, name: &str, what: &'static str, change: impl FnOnce(&mut Member)) {
         let mut state = self.state.lock();
         let Some(member) = state.others.get_mut(name) else { return };
-        let was_alive = member.is_alive();
+        let before = (member.is_alive(), member.is_settled);
         change(member);
-        if member.is_alive() != was_alive {
+        if (member.is_alive(), member.is_settled) != before {
             tracing::info!(
                 member = name,
                 is_leaving = member.is_leaving,
+                is_settled = member.is_settled,
                 silent = member.silent,
                 "{what}"
             );
@@ -150,9 +201,8 @@
 
     fn candidates(&self, state: &State, is_wanted: impl Fn(&Member) -> bool) -> Vec<Candidate> {
         let others = state.others.values().filter(|member| is_wanted(member));
-        let others =
-            others.map(|member| Candidate { name: member.name.clone(), weight: member.weight });
-        others.chain([self.own.clone()]).collect()
+        let (name, weight, is_settled) = (self.name.clone(), self.weight, state.is_settled);
+        others.map(Member::candidate).chain([Candidate { name, weight, is_settled }]).collect()
     }
 
     fn reassign(&self, state: &State) {
@@ -164,7 +214,7 @@
     }
 
     /// The gateways whose state matters here: owners of pools, those that would own one if they answered, watchers,
-    /// and one more by chance, so that word of everything gets around.
+    /// some that were never heard, and one more by chance, so that word of everything gets around.
     pub(crate) fn to_ask(&self) -> Vec<Member> {
         let state = self.state.lock();
         let all = self.candidates(&state, |_| true);
@@ -175,6 +225,8 @@
             .chain(ownership::watchers(&alive, WATCHERS))
             .chain(ownership::watchers(&all, WATCHERS))
             .collect();
+        let unheard = state.others.values().filter(|member| !member.is_heard);
+        names.extend(unheard.take(UNHEARD).map(|member| member.name.clone()));
         names.extend(state.others.keys().choose(&mut rand::rng()).cloned());
         names.iter().filter_map(|name| state.others.get(name).cloned()).collect()
     }
@@ -182,7 +234,7 @@
     /// Whether this gateway watches the configuration for the others.
     pub(crate) fn is_watcher(&self) -> bool {
         let alive = self.candidates(&self.state.lock(), Member::is_alive);
-        ownership::watchers(&alive, WATCHERS).contains(&self.own.name)
+        ownership::watchers(&alive, WATCHERS).contains(&self.name)
     }
 
     /// Who gathers the calls to a pool.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -94,6 +94,7 @@
 /// Asks the peers that matter what they know, until the process ends.
 pub(crate) async fn ask_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     loop {
+        shared.members.settle(boottime::now());
         for member in shared.members.to_ask() {
             tokio::spawn(ask(shared.clone(), member));
         }
@@ -115,7 +116,15 @@
             return shared.members.on_silence(&member.name);
         }
     };
-    shared.members.on_answer(&member.name, facts.leaving);
+    if facts.name != member.name {
+        tracing::warn!(
+            member = member.name,
+            answers = facts.name,
+            "address of a gateway is another's"
+        );
+        return shared.members.on_silence(&member.name);
+    }
+    shared.members.on_answer(&facts);
     if let Err(err) = learn(&shared, &member, &facts, sent).await {
         tracing::warn!(
             member = member.name,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -156,6 +156,7 @@
             revision: self.adopted.load().as_ref().map_or(0, |adopted| adopted.revision),
             proof_age_ms: age.map(|age| age.as_millis() as u64),
             leaving: self.is_stopping(),
+            settled: self.members.is_settled(),
         }
     }
 
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -555,6 +555,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "settled": {
+///      "description": "Whether the gateway started with the whole system, so that no other has its work.",
+///      "default": false,
+///      "type": "boolean"
+///    },
 ///    "weight": {
 ///      "description": "Processor time that the gateway may use, in cores.",
 ///      "type": "number"
@@ -568,6 +573,9 @@
     ///Link address.
     pub address: ::std::string::String,
     pub incarnation: u64,
+    ///Whether the gateway started with the whole system, so that no other has its work.
+    #[serde(default)]
+    pub settled: bool,
     ///Processor time that the gateway may use, in cores.
     pub weight: f64,
 }
@@ -583,7 +591,8 @@
 ///    "incarnation",
 ///    "leaving",
 ///    "name",
-///    "revision"
+///    "revision",
+///    "settled"
 ///  ],
 ///  "properties": {
 ///    "incarnation": {
@@ -606,6 +615,10 @@
 ///      "description": "The store's revision of the configuration in force; zero before the first.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "settled": {
+///      "description": "Whether the gateway has run long enough to take on work for others.",
+///      "type": "boolean"
 ///    }
 ///  }
 ///}
@@ -622,6 +635,8 @@
     pub proof_age_ms: ::std::option::Option<u64>,
     ///The store's revision of the configuration in force; zero before the first.
     pub revision: u64,
+    ///Whether the gateway has run long enough to take on work for others.
+    pub settled: bool,
 }
 ///Sent by an entry on each of its links to agents.
 ///
--- a/crates/schema/src/settings.rs
+++ b/crates/schema/src/settings.rs
@@ -274,6 +274,11 @@
 ///      "description": "Data centre of this gateway.",
 ///      "type": "string"
 ///    },
+///    "first_start": {
+///      "description": "Whether the whole system starts for the first time; a gateway that is started later takes on work for others only after a while.",
+///      "default": false,
+///      "type": "boolean"
+///    },
 ///    "lapse_ms": {
 ///      "description": "Milliseconds for which a target that vanished from the list while the store was away is still used.",
 ///      "type": "integer",
@@ -346,6 +351,9 @@
     pub cluster: ::std::string::String,
     ///Data centre of this gateway.
     pub data_centre: ::std::string::String,
+    ///Whether the whole system starts for the first time; a gateway that is started later takes on work for others only after a while.
+    #[serde(default)]
+    pub first_start: bool,
     ///Milliseconds for which a target that vanished from the list while the store was away is still used.
     pub lapse_ms: u64,
     ///IP address and port for other gateways.
