--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod outcome;
 pub mod ownership;
 pub mod pace;
-pub mod patience;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/core/src/stage_queue.rs
+++ b/crates/core/src/stage_queue.rs
@@ -133,8 +133,7 @@
         let mut ahead = 0_u32;
         let is_hopeless = |piece: &mut Waiting<T>| {
             let turn = Duration::from_secs_f64(f64::from(ahead) / rate.max(1.0));
-            let late_since = piece.queued_at.max(piece.due.saturating_sub(call));
-            let is_put_off = turn > LATE_PATIENCE || now > late_since + LATE_PATIENCE;
+            let is_put_off = turn > LATE_PATIENCE || now + call > piece.due + LATE_PATIENCE;
             let is_hopeless = now + turn + call > piece.expires
                 || (piece.is_late(now, call) && !piece.has_inputs && is_put_off);
             ahead += u32::from(!is_hopeless);
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -119,17 +119,9 @@
 /// Most targets of a pool crash: punctual requests keep coming, and a late one would wait until its deadline.
 #[test]
 fn take_hopeless_crash_late_pieces_are_not_put_off_for_ever() {
-    let mut queue = queue([piece(1, 1_300, 0)]);
-    assert!(queue.take_hopeless(ms(1_700), CALL, 10.0).is_empty());
-    assert_eq!(queue.take_hopeless(ms(1_721), CALL, 10.0).len(), 1);
-}
-
-/// A caller comes back after a refusal, late from the start, and there is room for it now.
-#[test]
-fn take_hopeless_late_arrival_is_served_when_its_turn_is_near() {
-    let mut queue = queue([piece(1, 300, 0)]);
-    assert!(queue.take_hopeless(ms(1_000), CALL, 10.0).is_empty());
-    assert_eq!(queue.take_hopeless(ms(1_701), CALL, 10.0).len(), 1);
+    let mut queue = queue([piece(1, 1_100, 0)]);
+    assert!(queue.take_hopeless(ms(1_500), CALL, 10.0).is_empty());
+    assert_eq!(queue.take_hopeless(ms(1_600), CALL, 10.0).len(), 1);
 }
 
 #[test]
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -92,8 +92,7 @@
     /// End-to-end headers of the caller.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// When the caller began to wait, maybe with an attempt before this one.
-    pub(crate) since: Uptime,
+    pub(crate) arrived: Uptime,
     pub(crate) deadline: Uptime,
     /// Targets at which the request ran, or may have run.
     pub(crate) runs: u32,
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -1,11 +1,10 @@
-//! Learned durations: what lies ahead of a request, its stages and the time to its first event, and what lies behind it.
+//! Learned durations of what lies ahead of a request: its stages, and the time to its first event.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::pace::Pace;
-use marigold_core::patience::UsualPatience;
 use parking_lot::Mutex;
 
 /// Durations that this gateway learned from its own requests.
@@ -15,8 +14,6 @@
     stages: Mutex<HashMap<(Name, u8), Pace>>,
     /// By route, since targets read long prompts for longer.
     first_events: Mutex<HashMap<Name, Pace>>,
-    /// By route.
-    patiences: Mutex<HashMap<Name, UsualPatience>>,
 }
 
 impl Paces {
@@ -47,13 +44,4 @@
             first_events.entry(route.to_owned()).or_default().observe(took, now);
         }
     }
-
-    /// Takes in a request with its patience, and tells how long its caller has waited already.
-    pub(crate) fn waited(&self, route: &str, patience: Duration) -> Duration {
-        let mut patiences = self.patiences.lock();
-        if let Some(usual) = patiences.get_mut(route) {
-            return usual.waited(patience);
-        }
-        patiences.entry(route.to_owned()).or_default().waited(patience)
-    }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -145,8 +145,6 @@
     guard.route.clone_from(&route.name);
     let patience = head.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let deadline = guard.arrived + patience;
-    let waited = head.patience.map(|patience| shared.paces.waited(&route.name, patience));
-    let since = guard.arrived.saturating_sub(waited.unwrap_or_default());
     let body = read_body(parts, body, &adopted.routing.limits, patience).await?;
     let pool = route.pool(routes::lot(&head.request)).clone();
     shared.count_request(&pool);
@@ -161,7 +159,7 @@
         uri: parts.uri.clone(),
         headers: attempts::end_to_end(&parts.headers),
         body,
-        since,
+        arrived: guard.arrived,
         deadline,
         runs: 0,
         tried: HashSet::new(),
@@ -285,7 +283,7 @@
 
 async fn execute<D: Dialect, S: Store>(attempts: &mut Attempts<D, S>) -> Result<Answer, Failure> {
     loop {
-        let results = attempts.run_stages(attempts.since).await?;
+        let results = attempts.run_stages(attempts.arrived).await?;
         let reply = attempts.send(results, attempts.head.last_event).await?;
         if !reply.is_answer_to(attempts.request()) {
             tracing::warn!(
