Refused callers come back after a quarter to a third of their time left

Cause: a caller that was refused in a burst came back after 0.15 to 0.33 of its time left, mostly late already (the aims are 1.7 to 2.2 s, a chain takes 1.1 s) and often into the same burst, where it was refused again.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -26,7 +26,7 @@
 
 /// When a caller may come back after its request found no place, as a range of its time left. An overload lasts for
 /// seconds, callers have few tries, and those that come back in step overload the targets again.
-const COME_BACK: std::ops::Range<f64> = 0.15..0.33;
+const COME_BACK: std::ops::Range<f64> = 0.25..0.33;
 /// Targets that did not run a request, after which it is refused.
 const MAX_NOT_RUN: u32 = 4;
 /// Ranks of routes that are told apart; the deployments declare three.
