Stages off the longer way to a request are started as late as it allows

Change: core::stage_plan puts such a stage off until the longer way is expected to need as long as it does, with a margin of 150 ms.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod routes;
 pub mod sent;
 pub mod shares;
+pub mod stage_plan;
 pub mod stage_queue;
 pub mod targets;
 pub mod view;
--- /dev/null
+++ b/crates/core/tests/stage_plan.rs
@@ -0,0 +1,63 @@
+//! When stages are started, on the routes of the deployments.
+
+use std::time::Duration;
+
+use marigold_core::pace::Expected;
+use marigold_core::routes::Stage;
+use marigold_core::stage_plan::{Plan, Progress};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn stage(pool: &str, after: &[usize], result_bytes: u64) -> Stage {
+    Stage { pool: pool.to_owned(), after: after.to_vec(), result_bytes }
+}
+
+/// A stage with large results for the request itself, beside a chain of three.
+fn stages() -> Vec<Stage> {
+    vec![
+        stage("encode", &[], 3_000_000),
+        stage("encode", &[], 8_000),
+        stage("retrieve", &[1], 60_000),
+        stage("rerank", &[2], 6_000),
+    ]
+}
+
+fn put_off(progress: [Progress; 4], stage: usize, now: Duration) -> Duration {
+    let expected = [250, 250, 300, 400].map(|time| Expected::known(ms(time)));
+    let stages = stages();
+    Plan { stages: &stages, expected: &expected, progress: &progress }.put_off(stage, now)
+}
+
+#[test]
+fn put_off_large_results_wait_for_the_longer_way() {
+    let waiting = [Progress::Waiting; 4];
+    assert_eq!(put_off(waiting, 0, ms(1_000)), ms(950 - 250 - 150));
+    assert_eq!(put_off(waiting, 1, ms(1_000)), Duration::ZERO);
+}
+
+#[test]
+fn put_off_time_that_has_passed_counts() {
+    let running =
+        [Progress::Waiting, Progress::Running(ms(1_000)), Progress::Waiting, Progress::Waiting];
+    assert_eq!(put_off(running, 0, ms(1_200)), ms(750 - 400));
+}
+
+#[test]
+fn put_off_last_of_the_longer_way_runs_nothing_waits() {
+    let last = [Progress::Waiting, Progress::Done, Progress::Done, Progress::Running(ms(2_000))];
+    assert_eq!(put_off(last, 0, ms(2_050)), Duration::ZERO);
+    let alone = [Progress::Waiting, Progress::Done, Progress::Done, Progress::Done];
+    assert_eq!(put_off(alone, 0, ms(9_000)), Duration::ZERO);
+}
+
+/// The longer way is not put off for the shorter one.
+#[test]
+fn put_off_chain_is_started_at_once() {
+    let chain =
+        [Progress::Running(ms(1_000)), Progress::Waiting, Progress::Waiting, Progress::Waiting];
+    assert_eq!(put_off(chain, 1, ms(1_000)), Duration::ZERO);
+    let last = [Progress::Waiting, Progress::Done, Progress::Done, Progress::Waiting];
+    assert_eq!(put_off(last, 3, ms(1_000)), Duration::ZERO);
+}
--- a/crates/gateway/src/chain.rs
+++ b/crates/gateway/src/chain.rs
@@ -10,6 +10,7 @@
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::pace::Expected;
 use marigold_core::routes::{Route, Routing, StagePool};
+use marigold_core::stage_plan::{Plan, Progress};
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::{PieceFailure, StageAsk, StageDone};
@@ -131,9 +132,18 @@
 
     /// Expected time from the start of a stage to the first event.
     fn time_from<D: Dialect, S: Store>(&self, shared: &Shared<D, S>, stage: usize) -> Expected {
-        let (pool, nominal) = (&self.route.stages[stage].pool, self.nominal(stage));
-        let own = shared.paces.stage(pool, self.priority, nominal, boottime::now());
-        own.then(self.time_after(shared, stage))
+        self.expected(shared, stage, boottime::now()).then(self.time_after(shared, stage))
+    }
+
+    /// Expected duration of a stage, with waiting.
+    fn expected<D: Dialect, S: Store>(
+        &self,
+        shared: &Shared<D, S>,
+        stage: usize,
+        now: Uptime,
+    ) -> Expected {
+        let pool = &self.route.stages[stage].pool;
+        shared.paces.stage(pool, self.priority, self.nominal(stage), now)
     }
 
     fn first_event<D: Dialect, S: Store>(&self, shared: &Shared<D, S>) -> Expected {
@@ -246,26 +256,52 @@
         }
     }
 
+    /// Stages to start now, and the time until the next of those that are put off.
+    fn ready<D: Dialect, S: Store>(
+        &self,
+        shared: &Shared<D, S>,
+        progress: &[Progress],
+    ) -> (Vec<usize>, Option<Duration>) {
+        let now = boottime::now();
+        let stages = &self.route.stages;
+        let expected: Vec<Expected> =
+            (0..stages.len()).map(|stage| self.expected(shared, stage, now)).collect();
+        let plan = Plan { stages, expected: &expected, progress };
+        let is_startable = |stage: &usize| {
+            let mut needed = stages[*stage].after.iter();
+            progress[*stage] == Progress::Waiting
+                && needed.all(|needed| progress[*needed] == Progress::Done)
+        };
+        let startable = (0..stages.len()).filter(is_startable);
+        let (ready, later): (Vec<_>, Vec<_>) = startable
+            .map(|stage| (stage, plan.put_off(stage, now)))
+            .partition(|(_, put_off)| put_off.is_zero());
+        let look_again = later.into_iter().map(|(_, put_off)| put_off).min();
+        (ready.into_iter().map(|(stage, _)| stage).collect(), look_again)
+    }
+
     async fn run_once<D: Dialect, S: Store>(
         &self,
         shared: &Arc<Shared<D, S>>,
     ) -> Result<Results<D, S>, PieceFailure> {
         let count = self.route.stages.len();
         let mut results = Results::new(shared, self.route);
-        let mut is_done: Vec<bool> = (0..count).map(|stage| self.pieces(stage) == 0).collect();
-        let mut is_started = is_done.clone();
+        let mut progress: Vec<Progress> = (0..count)
+            .map(|stage| if self.pieces(stage) == 0 { Progress::Done } else { Progress::Waiting })
+            .collect();
         let mut running = FuturesUnordered::new();
         loop {
-            for (stage, is_started) in is_started.iter_mut().enumerate() {
-                let after = &self.route.stages[stage].after;
-                if *is_started || !after.iter().all(|needed| is_done[*needed]) {
-                    continue;
-                }
-                *is_started = true;
+            let (ready, look_again) = self.ready(shared, &progress);
+            for stage in ready {
+                progress[stage] = Progress::Running(boottime::now());
                 let ask = self.ask(shared, stage, &results);
                 running.push(async move { (stage, self.run_stage(shared, ask).await) });
             }
-            let Some((stage, done)) = running.next().await else { return Ok(results) };
+            if running.is_empty() {
+                return Ok(results);
+            }
+            let next = time::timeout(look_again.unwrap_or(Duration::MAX), running.next()).await;
+            let Ok(Some((stage, done))) = next else { continue };
             if let Some(failure) = done.failure {
                 results.by_stage[stage] = done.handles;
                 return Err(failure);
@@ -274,10 +310,12 @@
             results.ends[stage] = self.spec(stage).map(|spec| {
                 (boottime::now() + spec.keep).saturating_sub(Duration::from_millis(done.age_ms))
             });
-            is_done[stage] = true;
+            progress[stage] = Progress::Done;
             for needed in self.route.stages[stage].after.clone() {
-                let is_needed = (0..count)
-                    .any(|next| !is_done[next] && self.route.stages[next].after.contains(&needed));
+                let is_needed = (0..count).any(|next| {
+                    progress[next] != Progress::Done
+                        && self.route.stages[next].after.contains(&needed)
+                });
                 if !is_needed {
                     results.free(needed);
                 }
