Gateways learn of new ones when those ask; the first look at a list waits for nothing

Since the first read of a list no longer waits 0.7 s, a gateway reads the list of gateways before the others have registered, and one that is cut off from the store right afterwards never hears of them, so nobody tells it of the new configuration (its lease on keys still ends).

Change: the pause is left out before the first look after a whole read, too, and a question for facts carries the asker's entry, so that whoever is asked knows the asker. A notification that nobody waited for is gone.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -43,10 +43,10 @@
     /// Takes in changes; `is_whole` tells that they are all objects of the kind. `sent` is when they were asked for.
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, sent: Uptime);
 
-    /// Waits until it is time for the next call; `is_first` tells that nothing has been read yet. Changes come in
-    /// groups, and each call is priced.
-    fn pause(&self, _shared: &Shared<D, S>, is_first: bool) -> impl Future<Output = ()> + Send {
-        time::sleep(if is_first { Duration::ZERO } else { GATHER })
+    /// Waits until it is time for the next call. Changes come in groups and each call is priced, so changes gather for
+    /// a while, but for the first read and the first look after it: a gateway that has just started knows nobody.
+    fn pause(&self, _shared: &Shared<D, S>, gathers: bool) -> impl Future<Output = ()> + Send {
+        time::sleep(if gathers { GATHER } else { Duration::ZERO })
     }
 
     /// Notes that a call failed.
@@ -59,8 +59,9 @@
 async fn follow<D: Dialect, S: Store, F: Follower<D, S>>(shared: Arc<Shared<D, S>>, follower: F) {
     let mut after: Version = 0;
     let mut failures = 0_u32;
+    let mut gathers = false;
     loop {
-        follower.pause(&shared, after == 0).await;
+        follower.pause(&shared, gathers).await;
         let sent = boottime::now();
         match shared.store.watch(F::KIND, after, F::WAIT).await {
             Ok(changes) => {
@@ -70,6 +71,7 @@
                 }
                 failures = 0;
                 let is_whole = after == 0;
+                gathers = !is_whole;
                 after = changes.version;
                 follower.apply(&shared, changes, is_whole, sent);
             }
@@ -80,6 +82,7 @@
                     "store has no history since the last look; reading all"
                 );
                 after = 0;
+                gathers = true;
             }
             Err(err) => {
                 shared.metrics.store_failures.add(1, &[KeyValue::new("kind", F::KIND)]);
@@ -102,7 +105,7 @@
     const WAIT: Duration = CONFIG_WAIT;
 
     /// Watchers call at once; others only when no watcher has told them for a while that their knowledge is fresh.
-    async fn pause(&self, shared: &Shared<D, S>, _is_first: bool) {
+    async fn pause(&self, shared: &Shared<D, S>, _gathers: bool) {
         while !shared.members.is_watcher() {
             let age = shared.freshness.lock().age(boottime::now());
             match age.and_then(|age| UNTOLD.checked_sub(age)) {
@@ -218,13 +221,8 @@
                 continue;
             };
             let entry = serde_json::from_str::<GatewayEntry>(&text);
-            match entry.map(|entry| (entry.address.parse(), entry)) {
-                Ok((Ok(addr), entry)) => {
-                    shared.members.put(object.name, &entry, addr);
-                }
-                Ok((Err(err), _)) => {
-                    tracing::warn!(member = object.name, %err, "address of a gateway cannot be read")
-                }
+            match entry {
+                Ok(entry) => shared.members.put(object.name, &entry),
                 Err(err) => {
                     tracing::warn!(member = object.name, %err, "entry of a gateway cannot be read")
                 }
@@ -244,13 +242,7 @@
 /// Writes where this gateway is reached, until the store has taken it.
 async fn register<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     let settings = shared.settings();
-    let entry = GatewayEntry {
-        incarnation: shared.incarnation,
-        address: settings.link_address.clone(),
-        weight: settings.weight,
-        settled: settings.first_start,
-    };
-    let text = match serde_json::to_string(&entry) {
+    let text = match serde_json::to_string(&shared.entry()) {
         Ok(text) => text,
         Err(err) => return tracing::error!(%err, "own entry cannot be written"),
     };
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -104,8 +104,15 @@
     }
 
     /// Takes in a gateway; one that is known in this incarnation stays as it is.
-    pub(crate) fn put(&self, name: Name, entry: &GatewayEntry, addr: SocketAddr) {
+    pub(crate) fn put(&self, name: Name, entry: &GatewayEntry) {
         let GatewayEntry { incarnation, weight, settled: is_settled, .. } = *entry;
+        let addr: SocketAddr = match entry.address.parse() {
+            Ok(addr) => addr,
+            Err(err) => {
+                tracing::warn!(member = name, %err, "address of a gateway cannot be read");
+                return;
+            }
+        };
         let mut state = self.state.lock();
         let is_known = state
             .others
@@ -154,7 +161,7 @@
         self.change(&facts.name, "gateway answers", |member| {
             member.silent = 0;
             member.is_leaving = facts.leaving;
-            member.is_settled = facts.settled;
+            member.is_settled = facts.entry.settled;
             member.is_heard = true;
         });
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -157,7 +157,6 @@
     let own = shared.facts().revision;
     if facts.revision > own {
         // The store is asked first: a configuration is large, and peers' links may be slow.
-        shared.config_is_old.notify_one();
         if shared.reaches_store.load(Ordering::Relaxed) || !shared.start_config_read() {
             return Ok(());
         }
@@ -202,7 +201,11 @@
                 broker::release(shared, &pool, handles);
                 replies.send(&Reply::Accepted(true)).await?;
             }
-            Request::Facts(_) => replies.send(&Reply::Facts(shared.facts())).await?,
+            Request::Facts(facts) => {
+                // A gateway that is cut off from the store learns of new ones when they ask.
+                shared.members.put(facts.name, &facts.entry);
+                replies.send(&Reply::Facts(shared.facts())).await?;
+            }
             Request::ReadConfig(newer_than) => {
                 let adopted = shared.adopted.load_full();
                 let reply = match adopted.filter(|adopted| adopted.revision > newer_than) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,10 +12,10 @@
 use marigold_core::retry::{WindowBudget, WindowLimit};
 use marigold_core::routes::Routing;
 use marigold_process::boottime;
-use marigold_schema::messages::GatewayFacts;
+use marigold_schema::messages::{GatewayEntry, GatewayFacts};
 use marigold_schema::settings::GatewaySettings;
 use parking_lot::Mutex;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::broker::Broker;
 use crate::chain::Releases;
@@ -50,8 +50,6 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: watch::Sender<bool>,
-    /// Wakes the task that reads the configuration, because a peer has a newer one.
-    pub(crate) config_is_old: Notify,
     /// Whether the last call for the configuration was answered by the store.
     pub(crate) reaches_store: AtomicBool,
     /// Whether the configuration is being read from a peer.
@@ -82,7 +80,6 @@
             metrics,
             stopping: watch::Sender::new(false),
             has_targets: watch::Sender::new(false),
-            config_is_old: Notify::new(),
             reaches_store: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
             budgets: Mutex::default(),
@@ -147,16 +144,26 @@
         self.freshness.lock().confidence(now, change, revocation)
     }
 
+    /// Where this gateway is reached, and what it may take on.
+    pub(crate) fn entry(&self) -> GatewayEntry {
+        let settings = self.settings();
+        GatewayEntry {
+            incarnation: self.incarnation,
+            address: settings.link_address.clone(),
+            weight: settings.weight,
+            settled: self.members.is_settled(),
+        }
+    }
+
     /// What this gateway tells others of itself.
     pub(crate) fn facts(&self) -> GatewayFacts {
         let age = self.freshness.lock().age(boottime::now());
         GatewayFacts {
             name: self.settings().name.clone(),
-            incarnation: self.incarnation,
+            entry: self.entry(),
             revision: self.adopted.load().as_ref().map_or(0, |adopted| adopted.revision),
             proof_age_ms: age.map(|age| age.as_millis() as u64),
             leaving: self.is_stopping(),
-            settled: self.members.is_settled(),
         }
     }
 
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -556,7 +556,7 @@
 ///      "format": "uint64"
 ///    },
 ///    "settled": {
-///      "description": "Whether the gateway started with the whole system, so that no other has its work.",
+///      "description": "Whether the gateway takes on work for others: it started with the whole system, or long ago.",
 ///      "default": false,
 ///      "type": "boolean"
 ///    },
@@ -573,7 +573,7 @@
     ///Link address.
     pub address: ::std::string::String,
     pub incarnation: u64,
-    ///Whether the gateway started with the whole system, so that no other has its work.
+    ///Whether the gateway takes on work for others: it started with the whole system, or long ago.
     #[serde(default)]
     pub settled: bool,
     ///Processor time that the gateway may use, in cores.
@@ -588,16 +588,15 @@
 ///  "description": "What a gateway knows of the configuration, and whether it takes part.",
 ///  "type": "object",
 ///  "required": [
-///    "incarnation",
+///    "entry",
 ///    "leaving",
 ///    "name",
-///    "revision",
-///    "settled"
+///    "revision"
 ///  ],
 ///  "properties": {
-///    "incarnation": {
-///      "type": "integer",
-///      "format": "uint64"
+///    "entry": {
+///      "description": "The gateway's entry, for peers that have not read it in the store; whether it is settled is as of now.",
+///      "$ref": "#/definitions/GatewayEntry"
 ///    },
 ///    "leaving": {
 ///      "description": "Whether the gateway is being stopped.",
@@ -615,10 +614,6 @@
 ///      "description": "The store's revision of the configuration in force; zero before the first.",
 ///      "type": "integer",
 ///      "format": "uint64"
-///    },
-///    "settled": {
-///      "description": "Whether the gateway has run long enough to take on work for others.",
-///      "type": "boolean"
 ///    }
 ///  }
 ///}
@@ -626,7 +621,8 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct GatewayFacts {
-    pub incarnation: u64,
+    ///The gateway's entry, for peers that have not read it in the store; whether it is settled is as of now.
+    pub entry: GatewayEntry,
     ///Whether the gateway is being stopped.
     pub leaving: bool,
     pub name: ::std::string::String,
@@ -635,8 +631,6 @@
     pub proof_age_ms: ::std::option::Option<u64>,
     ///The store's revision of the configuration in force; zero before the first.
     pub revision: u64,
-    ///Whether the gateway has run long enough to take on work for others.
-    pub settled: bool,
 }
 ///Sent by an entry on each of its links to agents.
 ///
