--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -8,9 +8,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use marigold_core::ids::{Name, Uptime};
-use marigold_core::placement;
 use marigold_core::router::Candidate;
 use marigold_core::routes::{Customer, Repeat, Route};
+use marigold_core::{admission, placement};
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::PieceFailure;
@@ -114,19 +114,31 @@
         customer.unwrap_or(self.route.priority).saturating_mul(ROUTE_RANKS).saturating_add(route)
     }
 
-    /// Refuses the request, before any work is done, when too many wait for its stages.
+    /// Refuses a part of the requests, before any work is done, when too many wait for their stages.
     ///
     /// # Errors
     /// A refusal.
     pub(crate) fn admit(&self) -> Result<(), Failure> {
-        let part = self.chain(self.arrived).refused_part(&self.shared);
-        if rand::random::<f64>() < part {
-            return Err(self.refused("too many requests wait for the stages"));
+        let outlook = self.chain(self.arrived).outlook(&self.shared);
+        let Some((expected, unloaded)) = outlook else { return Ok(()) };
+        let part = admission::refused_part(expected, unloaded, self.route.aim);
+        if rand::random::<f64>() >= part {
+            return Ok(());
         }
-        Ok(())
+        tracing::info!(
+            request = self.request(),
+            expected_ms = expected.as_millis() as u64,
+            unloaded_ms = unloaded.as_millis() as u64,
+            aim_ms = self.route.aim.as_millis() as u64,
+            part,
+            "request not admitted"
+        );
+        Err(self.refused("too many requests wait for the stages"))
     }
 
     fn chain(&self, since: Uptime) -> Chain<'_> {
+        let has_stages = !self.route.stages.is_empty();
+        let target = has_stages.then(|| self.pick(boottime::now())).flatten();
         Chain {
             routing: &self.adopted.routing,
             route: &self.route,
@@ -134,10 +146,7 @@
             priority: self.priority(),
             since,
             deadline: self.deadline,
-            target_centre: self
-                .pick(boottime::now())
-                .filter(|_| !self.route.stages.is_empty())
-                .map(|place| place.target.data_centre.clone()),
+            target_centre: target.map(|place| place.target.data_centre.clone()),
         }
     }
 
--- a/crates/gateway/src/chain.rs
+++ b/crates/gateway/src/chain.rs
@@ -6,7 +6,6 @@
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use marigold_core::admission;
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::pace::Expected;
 use marigold_core::routes::{Route, Routing, StagePool};
@@ -118,16 +117,19 @@
         self.head.pieces.get(stage).copied().unwrap_or(0)
     }
 
+    /// Stages that need the results of one.
+    fn followers(&self, stage: usize) -> impl Iterator<Item = usize> {
+        (stage + 1..self.route.stages.len()).filter(move |next| {
+            self.route.stages[*next].after.contains(&stage) && self.pieces(*next) > 0
+        })
+    }
+
     /// Expected time from the end of a stage to the first event.
     fn time_after<D: Dialect, S: Store>(&self, shared: &Shared<D, S>, stage: usize) -> Expected {
-        let count = self.route.stages.len();
-        let followers = (stage + 1..count).filter(|next| {
-            self.route.stages[*next].after.contains(&stage) && self.pieces(*next) > 0
-        });
-        followers
-            .map(|next| self.time_from(shared, next))
-            .max()
-            .unwrap_or_else(|| self.first_event(shared))
+        let longest = self.followers(stage).map(|next| self.time_from(shared, next)).max();
+        longest.unwrap_or_else(|| {
+            shared.paces.first_event(&self.route.name, TARGET_TIME, boottime::now())
+        })
     }
 
     /// Expected time from the start of a stage to the first event.
@@ -146,30 +148,25 @@
         shared.paces.stage(pool, self.priority, self.nominal(stage), now)
     }
 
-    fn first_event<D: Dialect, S: Store>(&self, shared: &Shared<D, S>) -> Expected {
-        shared.paces.first_event(&self.route.name, TARGET_TIME, boottime::now())
-    }
-
-    /// The part of requests like this one that is to be refused before any work is done.
-    pub(crate) fn refused_part<D: Dialect, S: Store>(&self, shared: &Shared<D, S>) -> f64 {
-        let firsts = || {
-            let stages = self.route.stages.iter().enumerate();
-            let firsts = stages.filter(|(_, stage)| stage.after.is_empty());
-            firsts.map(|(stage, _)| stage).filter(|stage| self.pieces(*stage) > 0)
-        };
-        let expected = firsts().map(|stage| self.time_from(shared, stage).mean).max();
-        let unloaded = firsts().map(|stage| self.unloaded_from(stage)).max();
-        let (Some(expected), Some(unloaded)) = (expected, unloaded) else { return 0.0 };
-        admission::refused_part(expected, unloaded, self.route.aim)
+    /// Expected time from the arrival to the first event, and the time that it takes when nothing waits; none without
+    /// stages.
+    pub(crate) fn outlook<D: Dialect, S: Store>(
+        &self,
+        shared: &Shared<D, S>,
+    ) -> Option<(Duration, Duration)> {
+        let stages = self.route.stages.iter().enumerate();
+        let firsts =
+            stages.filter(|(index, stage)| stage.after.is_empty() && self.pieces(*index) > 0);
+        let firsts: Vec<usize> = firsts.map(|(index, _)| index).collect();
+        let expected = firsts.iter().map(|stage| self.time_from(shared, *stage).mean).max()?;
+        let unloaded = firsts.iter().map(|stage| self.unloaded_from(*stage)).max()?;
+        Some((expected, unloaded))
     }
 
     /// Time from the start of a stage to the first event when nothing waits.
     fn unloaded_from(&self, stage: usize) -> Duration {
-        let followers = (stage + 1..self.route.stages.len()).filter(|next| {
-            self.route.stages[*next].after.contains(&stage) && self.pieces(*next) > 0
-        });
-        let after = followers.map(|next| self.unloaded_from(next)).max().unwrap_or(TARGET_TIME);
-        self.nominal(stage) + after
+        let after = self.followers(stage).map(|next| self.unloaded_from(next)).max();
+        self.nominal(stage) + after.unwrap_or(TARGET_TIME)
     }
 
     fn spec(&self, stage: usize) -> Option<&StagePool> {
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -1813,7 +1813,7 @@
 ///      "type": "string"
 ///    },
 ///    "left_ms": {
-///      "description": "Time left for the stage, so that the request can still meet its deadline.",
+///      "description": "Time left for the stage: until its inputs are dropped, or until the request can no longer meet its deadline.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
@@ -1862,7 +1862,7 @@
     ///Key of the pieces; set where the stage has no inputs.
     #[serde(default)]
     pub key: ::std::option::Option<::std::string::String>,
-    ///Time left for the stage, so that the request can still meet its deadline.
+    ///Time left for the stage: until its inputs are dropped, or until the request can no longer meet its deadline.
     pub left_ms: u64,
     ///Data centre in which the inputs lie or the results are needed, where they are large.
     #[serde(default)]
