--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,13 +7,16 @@
 
 use std::time::Duration;
 
-/// Part of the aim up to which nothing is refused.
+/// Part of the aim up to which nothing is refused. From 0.8 on, urgent requests were refused on mild days of the
+/// deployments (docs/EXPERIMENTS.md).
 const CALM: f64 = 0.85;
-/// Waiting, as a part of the aim, up to which nothing is refused where stages alone take most of the aim.
+/// Waiting, as a part of the aim, up to which nothing is refused where stages alone take most of the aim: half of what
+/// is left of the aim on the deployments' routes when nothing waits.
 const CALM_WAIT: f64 = 0.4;
-/// Increase of the expected end, as a part of the aim, that brings the refused part from none to all.
+/// Increase of the expected end, as a part of the aim, that brings the refused part from none to all; it ends a little
+/// past the aim, where a request would be late.
 const RAMP: f64 = 0.2;
-/// Largest part that is refused.
+/// Largest part that is refused: one request in twenty shows how long stages take.
 const MOST: f64 = 0.95;
 
 /// The part of requests to refuse, from 0 to 1, when a request is expected to take `expected`, would take `unloaded` if
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -22,20 +22,15 @@
 
 /// Time for which a gateway that was started again takes on no work for others: each move of a pool costs the calls in
 /// progress, and the new owner does not know what fills the targets. Machines that are restarted in turn, as in an
-/// upgrade, would take their pools back one by one.
+/// upgrade, would take their pools back one by one; the deployments stop and start theirs a second or two apart.
 pub const SETTLING: Duration = Duration::from_secs(30);
 
 /// The settled candidates, or all while those have less than half of the processor time.
 fn eligible(candidates: &[Candidate]) -> Vec<&Candidate> {
-    let weight = |wanted: &dyn Fn(&Candidate) -> bool| -> f64 {
-        candidates
-            .iter()
-            .filter(|candidate| wanted(candidate))
-            .map(|candidate| candidate.weight)
-            .sum()
-    };
-    let is_enough = 2.0 * weight(&|candidate| candidate.is_settled) >= weight(&|_| true);
-    candidates.iter().filter(|candidate| candidate.is_settled || !is_enough).collect()
+    let settled: Vec<&Candidate> = candidates.iter().filter(|c| c.is_settled).collect();
+    let settled_weight: f64 = settled.iter().map(|candidate| candidate.weight).sum();
+    let weight: f64 = candidates.iter().map(|candidate| candidate.weight).sum();
+    if 2.0 * settled_weight >= weight { settled } else { candidates.iter().collect() }
 }
 
 /// The owner of each pool, by name: pools are spread in proportion to the candidates' weights, over those that are
--- a/crates/core/src/stage_plan.rs
+++ b/crates/core/src/stage_plan.rs
@@ -11,7 +11,7 @@
 use crate::routes::Stage;
 
 /// Time by which such a stage is to be done before the longer way is. A late start delays the whole request, an early
-/// one costs memory for a while.
+/// one costs memory for a while. About the deviation of a stage's duration on the deployments.
 const MARGIN: Duration = Duration::from_millis(150);
 
 /// How far a stage is.
--- a/crates/gateway/src/chain.rs
+++ b/crates/gateway/src/chain.rs
@@ -30,7 +30,7 @@
 /// Bytes whose transfer between data centres costs more than some waiting, by the deployments' prices.
 const LARGE: u64 = 1_000_000;
 /// Time past its due time up to which a stage's duration is learned from: a piece that is later was put off behind
-/// punctual ones.
+/// punctual ones. About one call.
 const OVERDUE: Duration = Duration::from_millis(300);
 /// Times that a chain is started anew because a result was lost.
 const RESTARTS: u32 = 1;
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -1,10 +1,11 @@
 //! Learned durations of what lies ahead of a request: its stages, and the time to its first event.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::pace::{Expected, Pace};
+use marigold_core::routes::Routing;
 use parking_lot::Mutex;
 
 /// Durations that this gateway learned from its own requests.
@@ -17,6 +18,13 @@
 }
 
 impl Paces {
+    /// Forgets routes and pools that a configuration does not have.
+    pub(crate) fn retain(&self, routing: &Routing) {
+        self.stages.lock().retain(|(pool, _), _| routing.pools.contains_key(pool));
+        let routes: HashSet<&str> = routing.routes().map(|route| route.name.as_str()).collect();
+        self.first_events.lock().retain(|route, _| routes.contains(route.as_str()));
+    }
+
     /// Expected duration of a stage, with waiting.
     pub(crate) fn stage(&self, pool: &str, rank: u8, nominal: Duration, now: Uptime) -> Expected {
         let stages = self.stages.lock();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -114,6 +114,7 @@
                     "configuration put in force"
                 );
                 self.metrics.config_version.record(routing.version, &[]);
+                self.paces.retain(&routing);
                 self.adopted.store(Some(Arc::new(Adopted {
                     revision,
                     text: text.to_owned(),
