Gateway: log each failed call to the store, and export the age of its answers

Callers saw requests reach targets that were leaving; the log had only the first failure in a row, neither its duration nor what followed, so a watch that is never answered and one that is answered without the changes looked alike.

A failed call is logged with its duration and its connection, store recovered with the age of the answer before, targets changed with the targets kept although they are not listed; marigold_store_answer_age_seconds has the age by kind. Failures are at most about three a second and kind, as they are spaced by the backoff.

--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -96,6 +96,11 @@
         expired
     }
 
+    /// Returns the number of targets that are kept although the platform's list lacks them.
+    pub fn missing_count(&self) -> usize {
+        self.listed.values().filter(|listed| listed.missing_since.is_some()).count()
+    }
+
     /// Returns the targets that accept requests.
     pub fn usable(&self) -> impl Iterator<Item = &Target> {
         self.listed.values().map(|listed| &listed.target).filter(|target| !target.is_leaving)
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -75,8 +75,12 @@
         let sent = boottime::now();
         match shared.store.watch(F::KIND, after, F::WAIT).await {
             Ok(changes) => {
+                let now = boottime::now();
+                let answer_age = shared.store_answers.lock().insert(F::KIND, now);
                 if failures > 0 {
-                    tracing::info!(kind = F::KIND, failures, "store recovered");
+                    let answer_age_ms =
+                        answer_age.map(|at| now.saturating_sub(at).as_millis() as u64);
+                    tracing::info!(kind = F::KIND, failures, answer_age_ms, "store recovered");
                     handler.on_store_recovered(&shared);
                 }
                 failures = 0;
@@ -92,11 +96,10 @@
             }
             Err(err) => {
                 shared.metrics.store_failures.add(1, &[KeyValue::new("kind", F::KIND)]);
-                if failures == 0 {
-                    tracing::warn!(kind = F::KIND, %err, "call to the store failed");
-                }
-                handler.on_store_failure(&shared);
                 failures += 1;
+                let took_ms = boottime::now().saturating_sub(sent).as_millis() as u64;
+                tracing::warn!(kind = F::KIND, after, failures, took_ms, %err, "call to the store failed");
+                handler.on_store_failure(&shared);
                 let backoff = (BASE_BACKOFF * failures).min(MAX_BACKOFF);
                 time::sleep(backoff.mul_f64(1.0 + rand::random::<f64>())).await;
             }
@@ -172,6 +175,7 @@
                 changed = changes.objects.len(),
                 is_whole,
                 usable = shared.targets.len(),
+                missing = shared.targets.missing_count(),
                 version = changes.version,
                 "targets changed"
             );
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
     pub(crate) stage_pieces: Counter<u64>,
     pub(crate) retries: Counter<u64>,
     pub(crate) store_failures: Counter<u64>,
+    pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
 }
 
@@ -37,6 +38,11 @@
             stage_pieces: counter("marigold_stage_pieces", "Pieces sent by pool"),
             retries: counter("marigold_retries", "Requests sent to another target, by reason"),
             store_failures: counter("marigold_store_failures", "Failed calls to the store by kind"),
+            store_answer_age: meter
+                .f64_gauge("marigold_store_answer_age_seconds")
+                .with_unit("s")
+                .with_description("Time since the store last answered a watch, by kind")
+                .build(),
             config_version: meter
                 .u64_gauge("marigold_config_version")
                 .with_description("Version of the configuration in force")
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -65,6 +65,6 @@
     }
 
     async fn call(&self, _req: Request<Incoming>) -> Response<Body> {
-        response::full(StatusCode::OK, self.0.metrics.text())
+        response::full(StatusCode::OK, self.0.metrics_text())
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of a gateway.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::marker::PhantomData;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -14,6 +14,7 @@
 use marigold_process::boottime;
 use marigold_schema::messages::{GatewayEntry, GatewayFacts};
 use marigold_schema::settings::GatewaySettings;
+use opentelemetry::KeyValue;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
@@ -50,6 +51,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: watch::Sender<bool>,
+    /// When the store last answered a watch, by kind of objects.
+    pub(crate) store_answers: Mutex<BTreeMap<&'static str, Uptime>>,
     /// Whether the store answered the last call for the configuration.
     pub(crate) is_store_reachable: AtomicBool,
     is_reading_config: AtomicBool,
@@ -79,6 +82,7 @@
             metrics,
             stopping: watch::Sender::new(false),
             has_targets: watch::Sender::new(false),
+            store_answers: Mutex::default(),
             is_store_reachable: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
             budgets: Mutex::default(),
@@ -213,6 +217,16 @@
         budgets.entry(pool.to_owned()).or_default().withdraw(now, &limit, gateways)
     }
 
+    /// Returns all metrics in the Prometheus text format.
+    pub(crate) fn metrics_text(&self) -> String {
+        let now = boottime::now();
+        for (kind, at) in self.store_answers.lock().iter() {
+            let age = now.saturating_sub(*at).as_secs_f64();
+            self.metrics.store_answer_age.record(age, &[KeyValue::new("kind", *kind)]);
+        }
+        self.metrics.text()
+    }
+
     /// Returns the number of requests in progress.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -55,6 +55,11 @@
         self.pools.load().values().map(Vec::len).sum()
     }
 
+    /// Returns the number of targets that are kept although the store does not list them.
+    pub(crate) fn missing_count(&self) -> usize {
+        self.list.lock().missing_count()
+    }
+
     /// Changes the list with `change` and updates the table; targets that are unchanged keep their load.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut targets::TargetList) -> T) -> T {
         let mut list = self.list.lock();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -16,7 +16,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Timeout for opening a connection. It covers several round trips and the target's handshake, for which the
 /// deployments' data sheets state 1 ms.
@@ -55,6 +55,7 @@
 /// An open connection; dropping it closes it.
 pub struct Connection {
     peer: SocketAddr,
+    local: SocketAddr,
     send: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -89,6 +90,7 @@
             .map_err(|_| not_sent(format!("no answer within {OPEN_TIMEOUT:?}")))?
             .map_err(|err| not_sent(err.to_string()))?;
         configure_socket(&stream).map_err(|err| not_sent(err.to_string()))?;
+        let local = stream.local_addr().map_err(|err| not_sent(err.to_string()))?;
         let (send, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
@@ -97,7 +99,7 @@
                 tracing::debug!(%peer, %err, "connection to a target ended");
             }
         });
-        Ok(Self { peer, send, task: task.abort_handle() })
+        Ok(Self { peer, local, send, task: task.abort_handle() })
     }
 
     /// Returns whether another request can be sent.
@@ -148,29 +150,20 @@
         timeout: Duration,
         limit: usize,
     ) -> Result<Response<Bytes>> {
-        let exchanged = time::timeout(timeout, self.exchange_with_retry(req, may_retry, limit));
-        exchanged.await.unwrap_or_else(|_| {
-            Err(Error::MaybeSent {
-                peer: self.peer,
-                reason: format!("no reply within {timeout:?}"),
-            })
-        })
-    }
-
-    async fn exchange_with_retry(
-        &self,
-        req: Request<Bytes>,
-        may_retry: bool,
-        limit: usize,
-    ) -> Result<Response<Bytes>> {
+        let deadline = Instant::now() + timeout;
         let idle = self.pop_idle();
         if let Some(connection) = idle {
-            match self.exchange_on(connection, req.clone(), limit).await {
-                Err(_) if may_retry => {}
+            match self.exchange_on(connection, req.clone(), deadline, limit).await {
+                Err(_) if may_retry && Instant::now() < deadline => {}
                 result => return result,
             }
         }
-        self.exchange_on(Connection::open(self.peer).await?, req, limit).await
+        let opened = time::timeout_at(deadline, Connection::open(self.peer));
+        let connection = opened.await.unwrap_or_else(|_| {
+            let reason = format!("no connection within {timeout:?}");
+            Err(Error::NotSent { peer: self.peer, reason })
+        })?;
+        self.exchange_on(connection, req, deadline, limit).await
     }
 
     fn pop_idle(&self) -> Option<Connection> {
@@ -183,22 +176,34 @@
         &self,
         mut connection: Connection,
         req: Request<Bytes>,
+        deadline: Instant,
         limit: usize,
     ) -> Result<Response<Bytes>> {
-        let mut req = req.map(Full::new);
-        let host =
-            HeaderValue::try_from(self.peer.to_string()).expect("an address is a valid header");
-        req.headers_mut().insert(header::HOST, host);
-        let (head, body) = connection.send(req).await?.into_parts();
-        let read = Limited::new(body, limit).collect().await;
-        let body = read.map_err(|err| Error::MaybeSent {
-            peer: self.peer,
-            reason: format!("reading the reply: {}", error_chain(&*err)),
+        let started = Instant::now();
+        let local = connection.local;
+        let exchanged = time::timeout_at(deadline, async {
+            let mut req = req.map(Full::new);
+            let host =
+                HeaderValue::try_from(self.peer.to_string()).expect("an address is a valid header");
+            req.headers_mut().insert(header::HOST, host);
+            let (head, body) = connection.send(req).await?.into_parts();
+            let read = Limited::new(body, limit).collect().await;
+            let body = read.map_err(|err| Error::MaybeSent {
+                peer: self.peer,
+                reason: format!("reading the reply: {}", error_chain(&*err)),
+            })?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        });
+        let reply = exchanged.await.unwrap_or_else(|_| {
+            let waited = started.elapsed();
+            let reason =
+                format!("no complete reply within {waited:.1?} on the connection from {local}");
+            Err(Error::MaybeSent { peer: self.peer, reason })
         })?;
         if connection.is_open() {
             self.idle.lock().push(connection);
         }
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(reply)
     }
 }
 
