--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -38,6 +38,8 @@
 pub struct Faults {
     /// Whether every call fails.
     pub down: bool,
+    /// Whether calls are accepted and never answered, also after the fault has ended.
+    pub swallows_calls: bool,
     /// Delay added to every call, in milliseconds.
     pub slow_ms: u64,
     /// Number of writes whose response is replaced by a timeout after the write was processed.
@@ -145,6 +147,9 @@
             counts.refused += u64::from(!has_token);
         }
         let faults = self.faults.lock().clone();
+        if faults.swallows_calls {
+            std::future::pending::<()>().await;
+        }
         if faults.slow_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         }
