Gateway: bound the age of the list of targets by the wait of its watch

Callers' requests reached targets up to 3 s after they had announced their end, and targets that were gone, on a VM that nothing had ailed for 15 s.

Cause: a watch of targets waited for 25 s, and the store's client for 2 s more. A call that a silent store accepts and never answers cannot be told from a list without changes, since the connection is healthy for the kernel and its keep-alive probes are answered. Evidence: the failed call in the log, 27,000 ms on one connection, sent during the silence; no other call of the kind meanwhile. The class of fault is knowledge without a bound on its age: silence was taken for no change. Ruled out: a watch answered without the changes (none was answered), a target chosen early.

The wait is 1.5 s, so a lost call is noticed 3.5 s after it was sent, and the backoff counts from the call's start, so that an overdue call is followed by the next one at once. A reply without changes no longer rebuilds the list.

drain_noticed_after_the_store_swallowed_the_watch failed before (8 and 11 of 20 requests to the draining target) and passes. Tried on the way: nothing else.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -27,11 +27,15 @@
 const MIN_AGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay between two reads of a watch, so that each reads several changes.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(700);
-/// Wait time of the other watches. It is long because each call to the store has a price; keep-alive probes detect an
-/// unresponsive connection.
-const LIST_WAIT: Duration = Duration::from_secs(25);
-/// Backoff after a failed call, multiplied by the number of failures in a row and by a random factor between one and
-/// two, so that the retries of gateways do not coincide.
+/// Wait time of a watch on the targets. A watch whose reply is lost looks like one without changes until it is overdue,
+/// so this and the store's call timeout bound the age of the list: together they stay below the five seconds after a
+/// fault within which a draining target has to be noticed.
+const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
+/// Wait time of a watch on the gateways. It is long because each call to the store has a price, and gateways also learn
+/// of each other by polls.
+const MEMBERS_WAIT: Duration = Duration::from_secs(25);
+/// Backoff from the start of a failed call, multiplied by the number of failures in a row and by a random factor between
+/// one and two, so that the retries of gateways do not coincide.
 const BASE_BACKOFF: Duration = Duration::from_millis(200);
 /// Maximum backoff, before the random factor.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
@@ -97,11 +101,13 @@
             Err(err) => {
                 shared.metrics.store_failures.add(1, &[KeyValue::new("kind", F::KIND)]);
                 failures += 1;
-                let took_ms = boottime::now().saturating_sub(sent).as_millis() as u64;
+                let took = boottime::now().saturating_sub(sent);
+                let took_ms = took.as_millis() as u64;
                 tracing::warn!(kind = F::KIND, after, failures, took_ms, %err, "call to the store failed");
                 handler.on_store_failure(&shared);
                 let backoff = (BASE_BACKOFF * failures).min(MAX_BACKOFF);
-                time::sleep(backoff.mul_f64(1.0 + rand::random::<f64>())).await;
+                let backoff = backoff.mul_f64(1.0 + rand::random::<f64>());
+                time::sleep(backoff.saturating_sub(took)).await;
             }
         }
     }
@@ -152,9 +158,12 @@
 
 impl<D: Dialect, S: Store> WatchHandler<D, S> for Targets {
     const KIND: &'static str = D::TARGET_KIND;
-    const WAIT: Duration = LIST_WAIT;
+    const WAIT: Duration = TARGETS_WAIT;
 
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, _sent: Uptime) {
+        if !is_whole && changes.objects.is_empty() {
+            return;
+        }
         let now = boottime::now();
         let grace_period = Duration::from_millis(shared.settings().lapse_ms);
         shared.targets.update(|list| {
@@ -170,16 +179,14 @@
                 }
             }
         });
-        if !changes.objects.is_empty() {
-            tracing::info!(
-                changed = changes.objects.len(),
-                is_whole,
-                usable = shared.targets.len(),
-                missing = shared.targets.missing_count(),
-                version = changes.version,
-                "targets changed"
-            );
-        }
+        tracing::info!(
+            changed = changes.objects.len(),
+            is_whole,
+            usable = shared.targets.len(),
+            missing = shared.targets.missing_count(),
+            version = changes.version,
+            "targets changed"
+        );
         shared.has_targets.send_replace(true);
         for pool in shared.pools_with_stages() {
             batcher::dispatch(shared, &pool);
@@ -219,7 +226,7 @@
 
 impl<D: Dialect, S: Store> WatchHandler<D, S> for Gateways {
     const KIND: &'static str = MEMBER_KIND;
-    const WAIT: Duration = LIST_WAIT;
+    const WAIT: Duration = MEMBERS_WAIT;
 
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, _sent: Uptime) {
         if is_whole {
