Gateway: drop the idle connections to an address after a timeout

Callers of one gateway got 503 from 4.5 s after its connections to the store had gone silent until about 8 s, although new connections worked.

Cause: a call that timed out closed its own connection, and the next one took an idle connection, which had gone silent with the others and cost another timeout. Found while the tests of the watch were written; the log has two failures in a row with no complete reply within 2.6 s, from two local ports. Connections of one path share its fate, so a timeout now drops all idle ones. Cost: a handshake for each, after a timeout only.

store_reachable_after_all_connections_went_silent failed before in each run (503 at 4.48 and 4.54 s) and passes, as does drain_noticed_after_the_connection_of_the_watch_went_silent, which needs this and the bounded watch.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -195,6 +195,8 @@
             Ok(Response::from_parts(head, body.to_bytes()))
         });
         let reply = exchanged.await.unwrap_or_else(|_| {
+            // Connections of one path go silent together, and each would cost a timeout.
+            self.idle.lock().clear();
             let waited = started.elapsed();
             let reason =
                 format!("no complete reply within {waited:.1?} on the connection from {local}");
