Gateway: ask a store that recovers at once, for all kinds of objects

Callers got 503 up to 1.9 s after an outage of the store, as the age limit of the configuration passed before the gateway knew that the store had recovered.

Cause, from the log of a failing run: each kind waits for its own backoff, up to 1.6 s, whatever the others learn; and the first call after a failure is a watch, which a store without changes answers only after its wait time (the watch of targets recovered 1.2 s after the outage, the one of the configuration was sent before that and answered 0.36 s later). Ruled out: a shorter backoff alone, which doubles the calls of all gateways in an outage.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -77,10 +77,13 @@
     loop {
         handler.wait_before_read(&shared, is_delayed).await;
         let sent = boottime::now();
-        match shared.store.watch(F::KIND, after, F::WAIT).await {
+        // After a failure the store is asked for its state, which a watch without changes would delay.
+        let wait = if failures == 0 { F::WAIT } else { Duration::ZERO };
+        match shared.store.watch(F::KIND, after, wait).await {
             Ok(changes) => {
                 let now = boottime::now();
                 let answer_age = shared.store_answers.lock().insert(F::KIND, now);
+                shared.store_answered.notify_waiters();
                 if failures > 0 {
                     let answer_age_ms =
                         answer_age.map(|at| now.saturating_sub(at).as_millis() as u64);
@@ -107,7 +110,10 @@
                 handler.on_store_failure(&shared);
                 let backoff = (BASE_BACKOFF * failures).min(MAX_BACKOFF);
                 let backoff = backoff.mul_f64(1.0 + rand::random::<f64>());
-                time::sleep(backoff.saturating_sub(took)).await;
+                // The answer to a watch of another kind shows that the store has recovered.
+                let _ =
+                    time::timeout(backoff.saturating_sub(took), shared.store_answered.notified())
+                        .await;
             }
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,7 +16,7 @@
 use marigold_schema::settings::GatewaySettings;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::batcher::Batcher;
 use crate::dialect::Dialect;
@@ -53,6 +53,8 @@
     pub(crate) has_targets: watch::Sender<bool>,
     /// When the store last answered a watch, by kind of objects.
     pub(crate) store_answers: Mutex<BTreeMap<&'static str, Uptime>>,
+    /// Notified at each answer of the store to a watch.
+    pub(crate) store_answered: Notify,
     /// Whether the store answered the last call for the configuration.
     pub(crate) is_store_reachable: AtomicBool,
     is_reading_config: AtomicBool,
@@ -83,6 +85,7 @@
             stopping: watch::Sender::new(false),
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
+            store_answered: Notify::new(),
             is_store_reachable: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
             budgets: Mutex::default(),
