Gateway: tell an outage of the store from a partition of its own

Callers' requests reached targets up to 3.4 s after the store had removed them, from a VM that alone had been cut off.

Cause: entries of targets expire in an outage of the store and reappear with the next heartbeats, so a target that disappears within 2.2 s of the store's recovery is kept. Whatever made this gateway's own calls fail counted as such an outage, and the grace period began when it read the list again, however long the store had been back.

Gateways now exchange the period in which the store has answered any of them without a gap in which entries can expire (two heartbeats). The grace period counts from the start of that period, so that it does not apply after a partition of one's own, and ends on time after an outage that is noticed late. Weighed: the number of entries that vanish at once (says nothing of few), asking the missing targets (a priced probe, and one that leaves answers), only the newest answer of the peers (does not show whether the store was away in between). A gateway whose peers are cut off with it keeps the grace period, as before.

In core, for both directions: remove_after_outage_that_others_did_not_see_is_immediate, merge_*.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod shares;
 pub mod stage_plan;
 pub mod stage_queue;
+pub mod store_service;
 pub mod targets;
 pub mod view;
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -28,39 +28,44 @@
 #[derive(Clone, Debug)]
 struct ListedTarget {
     target: Target,
-    /// Set while the target is missing from the platform's list after a store outage.
-    missing_since: Option<Uptime>,
+    /// Whether the target is missing from the platform's list after a store outage.
+    is_missing: bool,
 }
 
 /// The last list of targets from the store.
 #[derive(Debug, Default)]
 pub struct TargetList {
     listed: BTreeMap<Name, ListedTarget>,
-    /// When the store last recovered from an outage.
+    /// When the store last recovered from an outage, as far as known.
     store_recovered_at: Option<Uptime>,
 }
 
 impl TargetList {
-    /// Records that the store has recovered from an outage.
-    pub fn on_store_recovered(&mut self, now: Uptime) {
-        self.store_recovered_at = Some(now);
+    /// Sets the time at which the store last recovered from an outage. A later call may set an earlier time, when other
+    /// processes turn out to have reached the store before.
+    pub fn on_store_recovered(&mut self, at: Uptime) {
+        self.store_recovered_at = Some(at);
+    }
+
+    /// Returns whether entries that expired in an outage may still reappear.
+    fn is_recovering(&self, now: Uptime, grace_period: Duration) -> bool {
+        self.store_recovered_at.is_some_and(|at| now < at + grace_period)
     }
 
     /// Adds or replaces a target.
     pub fn put(&mut self, target: Target) {
-        self.listed.insert(target.id.clone(), ListedTarget { target, missing_since: None });
+        self.listed.insert(target.id.clone(), ListedTarget { target, is_missing: false });
     }
 
     /// Removes a target that is missing from the platform's list.
     ///
     /// Records in the store expire during an outage and reappear with the next heartbeats of the targets. A target that
-    /// disappears within `grace_period` of the recovery is therefore kept for that time, unless it is leaving.
+    /// disappears within `grace_period` of the recovery is therefore kept until then, unless it is leaving.
     pub fn remove(&mut self, id: &str, now: Uptime, grace_period: Duration) {
-        let is_store_stable = self.store_recovered_at.is_none_or(|at| at + grace_period < now);
-        if is_store_stable || self.listed.get(id).is_some_and(|listed| listed.target.is_leaving) {
-            self.listed.remove(id);
-        } else if let Some(listed) = self.listed.get_mut(id) {
-            listed.missing_since.get_or_insert(now);
+        let is_recovering = self.is_recovering(now, grace_period);
+        match self.listed.get_mut(id) {
+            Some(listed) if is_recovering && !listed.target.is_leaving => listed.is_missing = true,
+            _ => drop(self.listed.remove(id)),
         }
     }
 
@@ -80,16 +85,13 @@
         }
     }
 
-    /// Removes the targets whose grace period has ended, and returns their ids.
+    /// Removes the missing targets if the grace period after the recovery has ended, and returns their ids.
     pub fn remove_expired(&mut self, now: Uptime, grace_period: Duration) -> Vec<Name> {
-        let is_over =
-            |listed: &ListedTarget| listed.missing_since.is_some_and(|at| at + grace_period <= now);
-        let expired: Vec<Name> = self
-            .listed
-            .iter()
-            .filter(|(_, listed)| is_over(listed))
-            .map(|(id, _)| id.clone())
-            .collect();
+        if self.is_recovering(now, grace_period) {
+            return Vec::new();
+        }
+        let missing = self.listed.iter().filter(|(_, listed)| listed.is_missing);
+        let expired: Vec<Name> = missing.map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.listed.remove(id);
         }
@@ -98,7 +100,7 @@
 
     /// Returns the number of targets that are kept although the platform's list lacks them.
     pub fn missing_count(&self) -> usize {
-        self.listed.values().filter(|listed| listed.missing_since.is_some()).count()
+        self.listed.values().filter(|listed| listed.is_missing).count()
     }
 
     /// Returns the targets that accept requests.
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -44,6 +44,31 @@
     assert_eq!(usable(&list), ["a"]);
 }
 
+/// A target removed while only this process was cut off stayed in use for the grace period of an outage.
+#[test]
+fn remove_after_outage_that_others_did_not_see_is_immediate() {
+    let mut list = TargetList::default();
+    list.put(target("a"));
+    list.put(target("b"));
+    list.on_store_recovered(Duration::from_secs(30));
+    list.remove("a", Duration::from_millis(30_100), GRACE_PERIOD);
+    list.on_store_recovered(Duration::from_secs(9));
+    assert_eq!(list.remove_expired(Duration::from_millis(30_400), GRACE_PERIOD), ["a"]);
+    list.remove("b", Duration::from_millis(30_500), GRACE_PERIOD);
+    assert!(usable(&list).is_empty());
+}
+
+/// The grace period counts from the recovery of the store and not from the time at which the removal is read.
+#[test]
+fn remove_read_late_after_an_outage_ends_with_the_grace_period() {
+    let mut list = TargetList::default();
+    list.put(target("a"));
+    list.on_store_recovered(Duration::from_secs(30));
+    list.remove("a", Duration::from_secs(32), GRACE_PERIOD);
+    assert_eq!(usable(&list), ["a"]);
+    assert_eq!(list.remove_expired(Duration::from_millis(32_200), GRACE_PERIOD), ["a"]);
+}
+
 #[test]
 fn remove_leaving_target_is_immediate_after_an_outage() {
     let mut list = TargetList::default();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -62,9 +62,6 @@
 
     /// Records that a call failed.
     fn on_store_failure(&self, _shared: &Shared<D, S>) {}
-
-    /// Records that the store has recovered after a failure.
-    fn on_store_recovered(&self, _shared: &Shared<D, S>) {}
 }
 
 async fn watch_forever<D: Dialect, S: Store, F: WatchHandler<D, S>>(
@@ -81,14 +78,10 @@
         let wait = if failures == 0 { F::WAIT } else { Duration::ZERO };
         match shared.store.watch(F::KIND, after, wait).await {
             Ok(changes) => {
-                let now = boottime::now();
-                let answer_age = shared.store_answers.lock().insert(F::KIND, now);
-                shared.store_answered.notify_waiters();
+                let answer_age = shared.record_store_answer(F::KIND, boottime::now());
                 if failures > 0 {
-                    let answer_age_ms =
-                        answer_age.map(|at| now.saturating_sub(at).as_millis() as u64);
+                    let answer_age_ms = answer_age.map(|age| age.as_millis() as u64);
                     tracing::info!(kind = F::KIND, failures, answer_age_ms, "store recovered");
-                    handler.on_store_recovered(&shared);
                 }
                 failures = 0;
                 let is_whole = after == 0;
@@ -97,6 +90,7 @@
                 handler.apply(&shared, changes, is_whole, sent);
             }
             Err(Error::HistoryExpired { .. }) => {
+                shared.record_store_answer(F::KIND, boottime::now());
                 tracing::info!(kind = F::KIND, after, "store history expired; reading all objects");
                 after = 0;
                 is_delayed = true;
@@ -171,8 +165,12 @@
             return;
         }
         let now = boottime::now();
-        let grace_period = Duration::from_millis(shared.settings().lapse_ms);
+        let grace_period = shared.grace_period();
+        let recovered_at = shared.store_service.lock().newest().map(|period| period.since);
         shared.targets.update(|list| {
+            if let Some(at) = recovered_at {
+                list.on_store_recovered(at);
+            }
             if is_whole {
                 let targets = changes.objects.iter().filter_map(read_target::<D>).collect();
                 list.replace(targets, now, grace_period);
@@ -185,11 +183,12 @@
                 }
             }
         });
+        let missing = shared.targets.missing_count();
         tracing::info!(
             changed = changes.objects.len(),
             is_whole,
             usable = shared.targets.len(),
-            missing = shared.targets.missing_count(),
+            missing,
             version = changes.version,
             "targets changed"
         );
@@ -197,22 +196,33 @@
         for pool in shared.pools_with_stages() {
             batcher::dispatch(shared, &pool);
         }
-        tokio::spawn(remove_expired_targets(shared.clone(), grace_period));
+        if missing > 0 {
+            tokio::spawn(remove_missing_targets(shared.clone()));
+        }
     }
+}
 
-    fn on_store_recovered(&self, shared: &Shared<D, S>) {
-        shared.targets.update(|list| list.on_store_recovered(boottime::now()));
+/// Removes the missing targets when the grace period after the store's recovery has ended.
+async fn remove_missing_targets<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
+    while shared.targets.missing_count() > 0 {
+        let recovered_at = shared.store_service.lock().newest().map(|period| period.since);
+        let ends_at = recovered_at.unwrap_or_default() + shared.grace_period();
+        time::sleep(ends_at.saturating_sub(boottime::now())).await;
+        update_missing_targets(&shared);
     }
 }
 
-async fn remove_expired_targets<D: Dialect, S: Store>(
-    shared: Arc<Shared<D, S>>,
-    grace_period: Duration,
-) {
-    time::sleep(grace_period).await;
-    let expired = shared.targets.update(|list| list.remove_expired(boottime::now(), grace_period));
-    if !expired.is_empty() {
-        tracing::info!(gone = ?expired, "targets did not reappear after the store outage");
+/// Removes the missing targets if, as far as is known now, the grace period after the store's recovery has ended.
+pub(crate) fn update_missing_targets<D: Dialect, S: Store>(shared: &Shared<D, S>) {
+    let Some(period) = shared.store_service.lock().newest() else { return };
+    let (now, grace_period) = (boottime::now(), shared.grace_period());
+    let removed = shared.targets.update(|list| {
+        list.on_store_recovered(period.since);
+        list.remove_expired(now, grace_period)
+    });
+    if !removed.is_empty() {
+        let store_up_ms = now.saturating_sub(period.since).as_millis() as u64;
+        tracing::info!(gone = ?removed, store_up_ms, "missing targets removed");
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use marigold_core::ids::Uptime;
+use marigold_core::store_service::Period;
 use marigold_link::server::{Handler, ReplySink};
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -12,10 +14,10 @@
 };
 use tokio::time;
 
-use crate::batcher;
 use crate::dialect::Dialect;
 use crate::members::{Member, Owner};
 use crate::shared::Shared;
+use crate::{batcher, discovery};
 
 /// Interval at which peers are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
@@ -126,6 +128,7 @@
         return shared.members.on_poll_failure(&member.name);
     }
     shared.members.on_facts(&facts);
+    merge_store_service(&shared, &facts, sent);
     if let Err(err) = sync_config(&shared, &member, &facts, sent).await {
         tracing::warn!(
             member = member.name,
@@ -136,6 +139,28 @@
     }
 }
 
+/// Adds what a peer knows of the store's service. The peer determined the ages between `sent` and now; the period is
+/// taken as short as that allows.
+fn merge_store_service<D: Dialect, S: Store>(
+    shared: &Shared<D, S>,
+    facts: &GatewayFacts,
+    sent: Uptime,
+) {
+    let Some(service) = &facts.store_service else { return };
+    let until = sent.saturating_sub(Duration::from_millis(service.until_age_ms));
+    let since = boottime::now().saturating_sub(Duration::from_millis(service.since_age_ms));
+    let period = Period { since: since.min(until), until };
+    let has_changed = {
+        let mut service = shared.store_service.lock();
+        let before = service.newest().map(|period| period.since);
+        service.merge(period, shared.min_outage());
+        service.newest().map(|period| period.since) != before
+    };
+    if has_changed {
+        discovery::update_missing_targets(shared);
+    }
+}
+
 /// Sends a request with a single reply. A timeout does not close the link, since stages may be running on it.
 async fn exchange(member: &Member, req: &Request, timeout: Duration) -> Result<Reply, String> {
     let exchanged = async {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,8 +11,9 @@
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::retry::{WindowBudget, WindowLimit};
 use marigold_core::routes::Routing;
+use marigold_core::store_service::{self, StoreService};
 use marigold_process::boottime;
-use marigold_schema::messages::{GatewayEntry, GatewayFacts};
+use marigold_schema::messages::{self, GatewayEntry, GatewayFacts};
 use marigold_schema::settings::GatewaySettings;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
@@ -53,6 +54,7 @@
     pub(crate) has_targets: watch::Sender<bool>,
     /// When the store last answered a watch, by kind of objects.
     pub(crate) store_answers: Mutex<BTreeMap<&'static str, Uptime>>,
+    pub(crate) store_service: Mutex<StoreService>,
     /// Notified at each answer of the store to a watch.
     pub(crate) store_answered: Notify,
     /// Whether the store answered the last call for the configuration.
@@ -85,6 +87,7 @@
             stopping: watch::Sender::new(false),
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
+            store_service: Mutex::default(),
             store_answered: Notify::new(),
             is_store_reachable: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
@@ -151,6 +154,25 @@
         self.freshness.lock().confidence(now, change_bound, revocation_bound)
     }
 
+    /// Records an answer of the store to a watch on objects of a kind; returns the age of the answer before.
+    pub(crate) fn record_store_answer(&self, kind: &'static str, now: Uptime) -> Option<Duration> {
+        let before = self.store_answers.lock().insert(kind, now);
+        self.store_service.lock().record_answer(now, self.min_outage());
+        self.store_answered.notify_waiters();
+        before.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns the time after the store's recovery in which expired entries of live targets reappear.
+    pub(crate) fn grace_period(&self) -> Duration {
+        Duration::from_millis(self.settings().lapse_ms)
+    }
+
+    /// Returns the shortest outage of the store in which the entries of live targets can expire.
+    pub(crate) fn min_outage(&self) -> Duration {
+        let heartbeat = Duration::from_millis(self.settings().target_heartbeat_ms.get());
+        store_service::min_outage(heartbeat)
+    }
+
     /// Returns this gateway's entry in the membership.
     pub(crate) fn entry(&self) -> GatewayEntry {
         let settings = self.settings();
@@ -164,12 +186,19 @@
 
     /// Returns the state that this gateway reports to others.
     pub(crate) fn facts(&self) -> GatewayFacts {
-        let age = self.freshness.lock().age(boottime::now());
+        let now = boottime::now();
+        let age = self.freshness.lock().age(now);
+        let age_ms = |at: Uptime| now.saturating_sub(at).as_millis() as u64;
+        let period = self.store_service.lock().newest();
         GatewayFacts {
             name: self.settings().name.clone(),
             entry: self.entry(),
             revision: self.adopted.load().as_ref().map_or(0, |adopted| adopted.revision),
             proof_age_ms: age.map(|age| age.as_millis() as u64),
+            store_service: period.map(|period| messages::StoreService {
+                since_age_ms: age_ms(period.since),
+                until_age_ms: age_ms(period.until),
+            }),
             leaving: self.is_stopping(),
         }
     }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -646,6 +646,10 @@
 ///      "description": "Revision in the store of the configuration in force; zero before the first configuration.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "store_service": {
+///      "description": "Period in which the store has answered without an outage; absent if it never answered.",
+///      "$ref": "#/definitions/StoreService"
 ///    }
 ///  }
 ///}
@@ -663,6 +667,9 @@
     pub proof_age_ms: ::std::option::Option<u64>,
     ///Revision in the store of the configuration in force; zero before the first configuration.
     pub revision: u64,
+    ///Period in which the store has answered without an outage; absent if it never answered.
+    #[serde(default)]
+    pub store_service: ::std::option::Option<StoreService>,
 }
 ///Heartbeat, sent by an entry on each of its links to agents.
 ///
@@ -2025,6 +2032,40 @@
     pub handles: ::std::vec::Vec<::std::string::String>,
     pub pool: ::std::string::String,
 }
+///Period in which the store has answered some gateway without an outage, by the ages of its ends.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Period in which the store has answered some gateway without an outage, by the ages of its ends.",
+///  "type": "object",
+///  "required": [
+///    "since_age_ms",
+///    "until_age_ms"
+///  ],
+///  "properties": {
+///    "since_age_ms": {
+///      "description": "Time since the earliest answer of the period, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "until_age_ms": {
+///      "description": "Time since the latest answer, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoreService {
+    ///Time since the earliest answer of the period, in milliseconds.
+    pub since_age_ms: u64,
+    ///Time since the latest answer, in milliseconds.
+    pub until_age_ms: u64,
+}
 ///Keys of a shard that an entry has sent, or that were replicated to it.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/schema/src/settings.rs
+++ b/crates/schema/src/settings.rs
@@ -331,6 +331,13 @@
 ///      "description": "IP address and port of the platform's object store.",
 ///      "type": "string"
 ///    },
+///    "target_heartbeat_ms": {
+///      "description": "Interval at which targets renew their entries in the store, in milliseconds; an entry expires after three of them.",
+///      "default": 1200,
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 1.0
+///    },
 ///    "weight": {
 ///      "description": "CPU capacity of this process, in cores; gateways with a higher weight own more pools.",
 ///      "type": "number"
@@ -379,6 +386,9 @@
     pub stop_s: ::std::num::NonZeroU32,
     ///IP address and port of the platform's object store.
     pub store: ::std::string::String,
+    ///Interval at which targets renew their entries in the store, in milliseconds; an entry expires after three of them.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 1200>")]
+    pub target_heartbeat_ms: ::std::num::NonZeroU64,
     ///CPU capacity of this process, in cores; gateways with a higher weight own more pools.
     pub weight: f64,
 }
