Gateway: close the link to a gateway that stops answering polls

After the connections between two gateways had gone silent, each counted the other as unresponsive for as long as the kernel kept the connection: they shared neither configuration nor knowledge of the store, and each ran all stages of its callers itself.

Four missed polls in a row (1.6 s, more than the heartbeats of a stage may be missing) now close it; the next poll opens another. A slow gateway that answers one of four keeps its link.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -16,6 +16,9 @@
 
 /// Number of failed polls in a row after which a gateway counts as unresponsive.
 const MISSED_POLL_LIMIT: u32 = 2;
+/// Number of failed polls in a row after which the link to a gateway is closed. One that has gone silent never recovers,
+/// and the kernel keeps it for many minutes; a gateway that is only slow keeps the stages that run on its link.
+const SILENT_LINK_POLLS: u32 = 4;
 /// Number of gateways that watch the configuration for all; with two, one can fail without an interruption.
 const WATCHER_COUNT: usize = 2;
 /// Maximum number of gateways polled at a time that have never answered. Reaches all gateways of the deployments within
@@ -167,11 +170,14 @@
         });
     }
 
-    /// Records a failed poll of a gateway.
-    pub(crate) fn on_poll_failure(&self, name: &str) {
+    /// Records a failed poll of a gateway; returns whether its link is to be closed.
+    pub(crate) fn on_poll_failure(&self, name: &str) -> bool {
+        let mut is_silent = false;
         self.update(name, "gateway unresponsive", |member| {
             member.missed_polls = member.missed_polls.saturating_add(1);
+            is_silent = member.missed_polls.is_multiple_of(SILENT_LINK_POLLS);
         });
+        is_silent
     }
 
     /// Marks a gateway as unresponsive because it failed to run a stage, so that its pools move to other owners at
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -112,11 +112,15 @@
         Ok(Reply::Facts(facts)) => facts,
         Ok(reply) => {
             tracing::warn!(member = member.name, ?reply, "unexpected reply from gateway");
-            return shared.members.on_poll_failure(&member.name);
+            shared.members.on_poll_failure(&member.name);
+            return;
         }
         Err(err) => {
             tracing::debug!(member = member.name, err, "gateway unreachable");
-            return shared.members.on_poll_failure(&member.name);
+            if shared.members.on_poll_failure(&member.name) {
+                member.peer.close().await;
+            }
+            return;
         }
     };
     if facts.name != member.name {
@@ -125,7 +129,8 @@
             answers = facts.name,
             "address belongs to another gateway"
         );
-        return shared.members.on_poll_failure(&member.name);
+        shared.members.on_poll_failure(&member.name);
+        return;
     }
     shared.members.on_facts(&facts);
     merge_store_service(&shared, &facts, sent);
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Closes the open link, if there is one; the next call opens another.
+    pub async fn close(&self) {
+        if let Some(link) = self.state.lock().await.link.take() {
+            link.close();
+        }
+    }
+
     /// Sends a request and waits for its single reply.
     ///
     /// # Errors
