--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -166,6 +166,12 @@
         self.put("servers", &self.replicas[number].options.id, &spec).await;
     }
 
+    /// Removes the entry of a replica of the pool `app`.
+    pub async fn remove_replica(&self, number: usize) {
+        let removed = self.platform.store.delete("servers", &self.replicas[number].options.id);
+        removed.await.expect("the in-memory store accepts a removal");
+    }
+
     async fn spawn_gateway(&self, number: usize, store_addr: SocketAddr) -> Gateway {
         let name = format!("gateway-{number}");
         let [addr, ready_addr, link_addr, metrics_addr] =
