Entry: report the start after the HTTP server listens

The first callers and operators of an entry that had logged its start could be refused a connection, and an entry whose HTTP address was in use ran on without serving anybody.

Cause: Entry::bind spawned the rocket server, which binds its port in that task, and returned. The stand-ins started in the same way. One launcher, marigold_process::http, now waits until the port is bound, and returns the error of one that cannot be.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -14,6 +14,7 @@
 use marigold_link::server::Server;
 use marigold_objects::{Object, Store as _, VM_KIND, Vm, VmState};
 use marigold_platform::store::PlatformStore;
+use marigold_process::http;
 use marigold_process::uptime::{Uptime, wall_clock_ms};
 use marigold_schema::settings::EntrySettings;
 use parking_lot::Mutex;
@@ -37,8 +38,7 @@
 pub struct Entry {
     shared: Arc<Shared>,
     _links: Server,
-    http_shutdown: rocket::Shutdown,
-    http: Mutex<Option<JoinHandle<()>>>,
+    http: Mutex<Option<http::Server>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -46,8 +46,7 @@
     /// Starts to serve callers, operators and other processes in the background.
     ///
     /// # Errors
-    /// An error that names the step, and the address or file, that failed. A failure to bind the HTTP address is only
-    /// logged.
+    /// An error that names the step, and the address or file, that failed.
     pub async fn bind(settings: EntrySettings) -> anyhow::Result<Entry> {
         let http_addr: SocketAddr =
             settings.http_address.parse().context("`http_address` is no IP:PORT")?;
@@ -58,15 +57,7 @@
         let shared = Arc::new(open_state(settings, security.clone())?);
         let handler = Arc::new(PeerHandler { shared: shared.clone() });
         let links = Server::bind(link_addr, security, handler).await?;
-        let rocket = api::rocket(http_addr, shared.clone());
-        let ignited =
-            rocket.ignite().await.map_err(|err| anyhow::anyhow!("setting up HTTP: {err}"))?;
-        let http_shutdown = ignited.shutdown();
-        let http = tokio::spawn(async move {
-            if let Err(err) = ignited.launch().await {
-                tracing::error!(%err, "HTTP server failed");
-            }
-        });
+        let http = http::Server::spawn(api::rocket(http_addr, shared.clone())).await?;
         let tasks = vec![
             tokio::spawn(config_sync::load_initial(shared.clone())),
             tokio::spawn(config_sync::watch_forever(shared.clone())),
@@ -76,7 +67,7 @@
             tokio::spawn(expire_keys_forever(shared.clone())),
         ];
         tracing::info!(entry = shared.member.name, http = %http_addr, links = %link_addr, "entry started");
-        Ok(Entry { shared, _links: links, http_shutdown, http: Mutex::new(Some(http)), tasks })
+        Ok(Entry { shared, _links: links, http: Mutex::new(Some(http)), tasks })
     }
 
     /// Returns the number of requests in flight.
@@ -118,10 +109,9 @@
         {
             tracing::warn!(%err, "writing costs at shutdown failed");
         }
-        self.http_shutdown.clone().notify();
         let http = self.http.lock().take();
         if let Some(http) = http {
-            let _ = http.await;
+            http.stop().await;
         }
         tracing::info!("entry stopped");
     }
@@ -129,7 +119,9 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.http_shutdown.clone().notify();
+        if let Some(http) = self.http.lock().as_ref() {
+            http.notify_stop();
+        }
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
--- a/crates/marigold/src/bin/marigold-standin.rs
+++ b/crates/marigold/src/bin/marigold-standin.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use anyhow::Context as _;
 use bpaf::Bpaf;
 use marigold_standin::{engine, platform, service};
 
@@ -59,21 +60,20 @@
 }
 
 async fn run(options: Options) -> anyhow::Result<()> {
-    let start_error = |err: Box<rocket::Error>| anyhow::anyhow!("the stand-in cannot start: {err}");
     let _server = match options {
         Options::Platform { listen, vm_lag_ms } => {
             let options = platform::Options { vm_lag_ms, ..Default::default() };
-            platform::spawn(listen, options).await.map_err(start_error)?.0
+            platform::spawn(listen, options).await.context("the stand-in cannot start")?.0
         }
         Options::Engine { listen, step_ms, no_fencing } => {
             let options =
                 engine::Options { step_ms, checks_fencing: !no_fencing, ..Default::default() };
-            engine::spawn(listen, options).await.map_err(start_error)?.0
+            engine::spawn(listen, options).await.context("the stand-in cannot start")?.0
         }
         Options::Service { listen, duration_ms, concurrency } => {
             let options =
                 service::Options { concurrency, duration_ms, seed: u64::from(listen.port()) };
-            service::spawn(listen, options).await.map_err(start_error)?.0
+            service::spawn(listen, options).await.context("the stand-in cannot start")?.0
         }
     };
     std::future::pending().await
--- a/crates/marigold/src/demo/cluster.rs
+++ b/crates/marigold/src/demo/cluster.rs
@@ -50,16 +50,13 @@
     listener.local_addr().context("looking for a free port")
 }
 
-fn map_start_error<T>(result: Result<T, Box<rocket::Error>>) -> anyhow::Result<T> {
-    result.map_err(|err| anyhow::anyhow!("starting a stand-in: {err}"))
-}
-
 impl Cluster {
     /// Starts the deployment and waits until all entries are ready.
     pub(super) async fn spawn(declarations: &Declarations) -> anyhow::Result<Cluster> {
         let platform_addr = free_addr()?;
-        let (_, platform) =
-            map_start_error(platform::spawn(platform_addr, platform::Options::default()).await)?;
+        let (_, platform) = platform::spawn(platform_addr, platform::Options::default())
+            .await
+            .context("starting a stand-in")?;
         let platform_url = format!("http://{platform_addr}");
         let mut cluster = Cluster {
             platform,
@@ -182,7 +179,9 @@
             checks_fencing: pool.checks_fencing,
             ..Default::default()
         };
-        return Ok(StandIn::Engine(map_start_error(engine::spawn(addr, options).await)?.1));
+        return Ok(StandIn::Engine(
+            engine::spawn(addr, options).await.context("starting a stand-in")?.1,
+        ));
     }
     let duration_ms = match pool.kind {
         PoolKind::Encoder => 4.0,
@@ -191,7 +190,7 @@
         PoolKind::Engine | PoolKind::Service => 10.0,
     };
     let options = service::Options { concurrency, duration_ms, seed: u64::from(addr.port()) };
-    Ok(StandIn::Service(map_start_error(service::spawn(addr, options).await)?.1))
+    Ok(StandIn::Service(service::spawn(addr, options).await.context("starting a stand-in")?.1))
 }
 
 fn agent_settings(
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use marigold_process::http::Server;
 use parking_lot::Mutex;
 use rocket::http::Status;
 use rocket::response::stream::TextStream;
@@ -20,7 +21,7 @@
 use tokio::sync::mpsc;
 
 use crate::runs::{self, RunCounts};
-use crate::server::{self, Server};
+use crate::server;
 use batch::{Batch, Sequence};
 
 /// Configuration of an engine.
@@ -229,11 +230,8 @@
 /// Starts an engine on an address.
 ///
 /// # Errors
-/// Fails when `rocket` rejects the configuration or the routes.
-pub async fn spawn(
-    addr: SocketAddr,
-    options: Options,
-) -> Result<(Server, Arc<Engine>), Box<rocket::Error>> {
+/// As [`Server::spawn`].
+pub async fn spawn(addr: SocketAddr, options: Options) -> anyhow::Result<(Server, Arc<Engine>)> {
     let engine = Arc::new(Engine {
         batch: Batch::new(options.max_batch, options.prefill_steps, options.cached_prefixes),
         faults: Mutex::default(),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,6 +6,7 @@
 
 use marigold_objects::memory::MemoryStore;
 use marigold_objects::{Error, Expect, Object, Store, VM_KIND, Version, Vm};
+use marigold_process::http::Server;
 use parking_lot::Mutex;
 use rocket::http::Status;
 use rocket::serde::json::Json;
@@ -13,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::server::{self, Server};
+use crate::server;
 
 /// Configuration of the platform.
 #[derive(Clone, Debug)]
@@ -345,11 +346,8 @@
 /// Starts a platform on an address.
 ///
 /// # Errors
-/// Fails when `rocket` rejects the configuration or the routes.
-pub async fn spawn(
-    addr: SocketAddr,
-    options: Options,
-) -> Result<(Server, Arc<Platform>), Box<rocket::Error>> {
+/// As [`Server::spawn`].
+pub async fn spawn(addr: SocketAddr, options: Options) -> anyhow::Result<(Server, Arc<Platform>)> {
     let platform = Arc::new(Platform {
         store: MemoryStore::default(),
         faults: Mutex::default(),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,16 +1,9 @@
-//! Runs a `rocket` server as a background task of a process.
+//! Configuration of the stand-ins' HTTP servers.
 
 use std::net::SocketAddr;
 
 use rocket::config::{Config, Shutdown as ShutdownConfig};
 use rocket::data::{Limits, ToByteUnit as _};
-use rocket::{Build, Rocket};
-
-/// A running server; dropping the handle does not stop it.
-pub struct Server {
-    shutdown: rocket::Shutdown,
-    task: tokio::task::JoinHandle<()>,
-}
 
 /// Returns the configuration of a server on an address, without its own signal handlers and logs.
 pub fn config(addr: SocketAddr) -> Config {
@@ -31,26 +24,3 @@
         ..Config::release_default()
     }
 }
-
-impl Server {
-    /// Starts the server in the background.
-    ///
-    /// # Errors
-    /// Fails when `rocket` rejects the configuration or the routes.
-    pub async fn spawn(rocket: Rocket<Build>) -> Result<Server, Box<rocket::Error>> {
-        let rocket = rocket.ignite().await.map_err(Box::new)?;
-        let shutdown = rocket.shutdown();
-        let task = tokio::spawn(async move {
-            if let Err(err) = rocket.launch().await {
-                eprintln!("stand-in ended: {err}");
-            }
-        });
-        Ok(Server { shutdown, task })
-    }
-
-    /// Stops the server and waits for its end.
-    pub async fn stop(self) {
-        self.shutdown.notify();
-        let _ = self.task.await;
-    }
-}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigold_process::http::Server;
 use parking_lot::Mutex;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -16,7 +17,7 @@
 use tokio::sync::Semaphore;
 
 use crate::runs::{self, RunCounts};
-use crate::server::{self, Server};
+use crate::server;
 
 /// Configuration of a service.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -115,11 +116,8 @@
 /// Starts a service on an address.
 ///
 /// # Errors
-/// Fails when `rocket` rejects the configuration or the routes.
-pub async fn spawn(
-    addr: SocketAddr,
-    options: Options,
-) -> Result<(Server, Arc<Service>), Box<rocket::Error>> {
+/// As [`Server::spawn`].
+pub async fn spawn(addr: SocketAddr, options: Options) -> anyhow::Result<(Server, Arc<Service>)> {
     let service = Service::new(options);
     let rocket = rocket::custom(server::config(addr))
         .manage(service.clone())
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use marigold_objects::{Expect, Store as _};
+use marigold_process::http::Server;
 use marigold_standin::platform::{self, Platform};
 use marigold_standin::replica::{Options, Replica};
-use marigold_standin::server::Server;
 use serde_json::{Value, json};
 
 use crate::process::{self, Process};
