Demo: read the costs with the entry's reader, and check the bill against the stand-ins

The README's first command served every request, printed the table and ended with an error of 18 KB.

Cause: the demo read the cost objects from the stand-in's memory and expected a list, and since the store has its published form a value is a JSON string there. An object that holds no cost lines is named without its text; the entry logs it and goes on, as before, and the demo fails on it. The demo also compares the number of charged attempts with the runs that the stand-ins counted.

--- a/crates/entry/src/api/operators.rs
+++ b/crates/entry/src/api/operators.rs
@@ -235,8 +235,11 @@
         Problem::refused(503, "Costs cannot be read", err.to_string())
     };
     billing::flush(shared).await.map_err(unavailable)?;
-    let accounts = billing::read_all(shared).await.map_err(unavailable)?;
-    Ok(Json(accounts.lines()))
+    let costs = billing::read_all(&shared.store).await.map_err(unavailable)?;
+    for unreadable in &costs.unreadable {
+        tracing::warn!(err = %unreadable, "skipping a cost object");
+    }
+    Ok(Json(costs.accounts.lines()))
 }
 
 /// Returns the burn rates by pipeline and customer, merged from all entries.
--- a/crates/entry/src/billing.rs
+++ b/crates/entry/src/billing.rs
@@ -5,7 +5,7 @@
 
 use marigold_core::cost::{Account, Accounts, Line, Total, Worth};
 use marigold_core::view::PoolView;
-use marigold_objects::{Error, Expect, Store as _};
+use marigold_objects::{Error, Expect, Store};
 use opentelemetry::KeyValue;
 
 use crate::state::Shared;
@@ -83,19 +83,46 @@
     }
 }
 
-/// Reads the stored totals of all writers and returns their sum.
-pub(crate) async fn read_all(shared: &Shared) -> Result<Accounts, Error> {
-    let changes = shared.store.watch(COST_KIND, 0, Duration::ZERO).await?;
-    let mut accounts = Accounts::default();
+/// The stored totals of all writers.
+#[derive(Debug, Default)]
+pub struct StoredCosts {
+    /// Sum of the totals.
+    pub accounts: Accounts,
+    /// Objects that could not be read, and are missing from the sum.
+    pub unreadable: Vec<UnreadableCosts>,
+}
+
+/// A stored object without valid cost lines. The error does not repeat the object's text, which may be long.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "{COST_KIND}/{name} holds no cost lines: {category:?} error at line {line}, column {column}"
+)]
+pub struct UnreadableCosts {
+    /// Name of the object.
+    pub name: String,
+    category: serde_json::error::Category,
+    line: usize,
+    column: usize,
+}
+
+/// Reads the stored totals of all writers.
+///
+/// # Errors
+/// When the store cannot be read. Objects that are no cost lines do not fail the call.
+pub async fn read_all<S: Store>(store: &S) -> Result<StoredCosts, Error> {
+    let changes = store.watch(COST_KIND, 0, Duration::ZERO).await?;
+    let mut costs = StoredCosts::default();
     for object in changes.objects {
-        let lines: Result<Vec<Line>, _> =
-            serde_json::from_str(object.value.as_deref().unwrap_or("[]"));
-        match lines {
-            Ok(lines) => accounts.add_lines(&lines),
-            Err(err) => {
-                tracing::warn!(%err, writer = object.name, "skipping a cost object that cannot be parsed")
-            }
+        let text = object.value.as_deref().unwrap_or("[]");
+        match serde_json::from_str::<Vec<Line>>(text) {
+            Ok(lines) => costs.accounts.add_lines(&lines),
+            Err(err) => costs.unreadable.push(UnreadableCosts {
+                name: object.name,
+                category: err.classify(),
+                line: err.line(),
+                column: err.column(),
+            }),
         }
     }
-    Ok(accounts)
+    Ok(costs)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod api;
 mod attempt;
-mod billing;
+pub mod billing;
 mod config_push;
 mod config_sync;
 pub mod entry;
--- a/crates/marigold/src/demo.rs
+++ b/crates/marigold/src/demo.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use marigold_core::cost::{Accounts, Line};
+use marigold_entry::billing::StoredCosts;
 use marigold_load::drive::{Driver, Outcome, Sample};
 use marigold_load::experiment::Experiment;
 use marigold_load::{arrivals, report};
@@ -27,6 +27,10 @@
     pub folder: PathBuf,
     /// Load file to use instead of the deployment's `load/ordinary.toml`.
     pub load: Option<PathBuf>,
+    /// Duration of the load in seconds, to use instead of the load file's.
+    pub duration_s: Option<f64>,
+    /// Requests per second, to use instead of the load file's.
+    pub rate: Option<f64>,
     /// File to which the report is written as JSON.
     pub report: Option<PathBuf>,
 }
@@ -43,7 +47,9 @@
 pub async fn run(options: &Options) -> anyhow::Result<()> {
     let declarations = validate::read(&options.folder).map_err(|err| anyhow::anyhow!("{err}"))?;
     let load = options.load.clone().unwrap_or_else(|| options.folder.join("load/ordinary.toml"));
-    let experiment = Experiment::read(&load)?;
+    let mut experiment = Experiment::read(&load)?;
+    experiment.duration_s = options.duration_s.unwrap_or(experiment.duration_s);
+    experiment.rate = options.rate.unwrap_or(experiment.rate);
     println!("starting {} targets and {} entries", declarations.target.len(), cluster::ENTRIES);
     let cluster = Cluster::spawn(&declarations).await?;
     let arrivals = arrivals::generate(&experiment);
@@ -81,16 +87,19 @@
     println!("\n{}", report.to_text());
     // An entry writes its final totals to the platform when it drains.
     cluster.drain().await;
-    let lines: Vec<Line> = cluster.cost_lines().await?;
-    let mut accounts = Accounts::default();
-    accounts.add_lines(&lines);
+    let StoredCosts { accounts, unreadable } = cluster.read_costs().await?;
     println!("cost by customer");
     cost::print(&accounts, Group::Customer);
     println!("\ncost by stage");
     cost::print(&accounts, Group::Stage);
-    let violations = find_violations(declarations, cluster, samples);
+    let mut violations = find_violations(declarations, cluster, samples);
+    violations.0.extend(unreadable.iter().map(ToString::to_string));
+    let (charged, ran) = (accounts.sum().attempts, cluster.run_counts().values().sum::<u64>());
+    if charged != ran {
+        violations.0.push(format!("{charged} attempts are charged, the targets ran {ran}"));
+    }
     if let Some(path) = &options.report {
-        let text = json!({ "report": report, "cost": lines, "broken": violations.0 });
+        let text = json!({ "report": report, "cost": accounts.lines(), "broken": violations.0 });
         write_report(path, &text.to_string())?;
     }
     anyhow::ensure!(violations.0.is_empty(), "promises broken:\n  {}", violations.0.join("\n  "));
--- a/crates/marigold/src/demo/cluster.rs
+++ b/crates/marigold/src/demo/cluster.rs
@@ -8,15 +8,15 @@
 use anyhow::Context as _;
 use marigold_agent::agent::Agent;
 use marigold_core::config;
-use marigold_core::cost::Line;
 use marigold_core::digest;
 use marigold_core::head::ItemChange;
+use marigold_entry::billing::{self, StoredCosts};
 use marigold_entry::entry::Entry;
-use marigold_objects::Store as _;
+use marigold_platform::store::PlatformStore;
 use marigold_schema::declarations::{Declarations, Pool, PoolKind, Target};
 use marigold_schema::settings::{AgentSettings, EntrySettings};
 use marigold_standin::engine::{self, Engine};
-use marigold_standin::platform::{self, Platform};
+use marigold_standin::platform;
 use marigold_standin::service::{self, Service};
 use serde_json::{Value, json};
 
@@ -38,7 +38,7 @@
 
 /// A deployment that runs in this process.
 pub(super) struct Cluster {
-    platform: Arc<Platform>,
+    platform_url: String,
     targets: Vec<StandIn>,
     _agents: Vec<Agent>,
     entries: Vec<Entry>,
@@ -54,12 +54,12 @@
     /// Starts the deployment and waits until all entries are ready.
     pub(super) async fn spawn(declarations: &Declarations) -> anyhow::Result<Cluster> {
         let platform_addr = free_addr()?;
-        let (_, platform) = platform::spawn(platform_addr, platform::Options::default())
+        platform::spawn(platform_addr, platform::Options::default())
             .await
             .context("starting a stand-in")?;
         let platform_url = format!("http://{platform_addr}");
         let mut cluster = Cluster {
-            platform,
+            platform_url: platform_url.clone(),
             targets: Vec::new(),
             _agents: Vec::new(),
             entries: Vec::new(),
@@ -143,16 +143,9 @@
         }
     }
 
-    /// Reads the cost lines of all entries from the platform.
-    pub(super) async fn cost_lines(&self) -> anyhow::Result<Vec<Line>> {
-        let changes = self.platform.store.watch("cost", 0, Duration::ZERO).await?;
-        let mut lines = Vec::new();
-        for object in changes.objects {
-            lines.extend(serde_json::from_str::<Vec<Line>>(
-                object.value.as_deref().unwrap_or("[]"),
-            )?);
-        }
-        Ok(lines)
+    /// Reads the costs of all entries from the platform.
+    pub(super) async fn read_costs(&self) -> anyhow::Result<StoredCosts> {
+        Ok(billing::read_all(&PlatformStore::open(&self.platform_url)?).await?)
     }
 
     /// Returns the number of runs by operation, summed over all targets.
