Gateway: ask for the period of the store after a recovery only

The period was part of every poll, whose messages gateways of the version before cannot read: in a rolling upgrade old and new gateways would have counted each other as unresponsive, each group with a retry budget of its own. It is now a request of its own, sent only while a grace period runs; earlier versions refuse it, and the grace period then counts from the gateway's own recovery, as before.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -186,7 +186,8 @@
             | Request::RunStage(_)
             | Request::Release(_)
             | Request::Facts(_)
-            | Request::ReadConfig(_) => {
+            | Request::ReadConfig(_)
+            | Request::ReadStoreService => {
                 replies.send(&Reply::Refused("an agent does not serve this".to_owned())).await?
             }
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -67,7 +67,8 @@
             | Request::RunStage(_)
             | Request::Release(_)
             | Request::Facts(_)
-            | Request::ReadConfig(_) => {
+            | Request::ReadConfig(_)
+            | Request::ReadStoreService => {
                 replies.send(&Reply::Refused("an entry does not serve this".to_owned())).await
             }
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use marigold_core::ids::Uptime;
 use marigold_core::store_service::Period;
 use marigold_link::server::{Handler, ReplySink};
 use marigold_objects::Store;
@@ -133,7 +132,9 @@
         return;
     }
     shared.members.on_facts(&facts);
-    merge_store_service(&shared, &facts, sent);
+    if shared.is_in_grace_period(boottime::now()) {
+        merge_store_service(&shared, &member).await;
+    }
     if let Err(err) = sync_config(&shared, &member, &facts, sent).await {
         tracing::warn!(
             member = member.name,
@@ -144,26 +145,23 @@
     }
 }
 
-/// Adds what a peer knows of the store's service. The peer determined the ages between `sent` and now; the period is
-/// taken as short as that allows.
-fn merge_store_service<D: Dialect, S: Store>(
-    shared: &Shared<D, S>,
-    facts: &GatewayFacts,
-    sent: Uptime,
-) {
-    let Some(service) = &facts.store_service else { return };
+/// Adds what a peer knows of the store's service. The peer determined the ages between the request and its reply; the
+/// period is taken as short as that allows.
+async fn merge_store_service<D: Dialect, S: Store>(shared: &Shared<D, S>, member: &Member) {
+    let sent = boottime::now();
+    let service = match exchange(member, &Request::ReadStoreService, REPLY_TIMEOUT).await {
+        Ok(Reply::StoreService(service)) => service,
+        // Gateways without this request refuse it, as do those that the store has not answered.
+        Ok(_) => return,
+        Err(err) => {
+            return tracing::debug!(member = member.name, err, "period of the store not read");
+        }
+    };
     let until = sent.saturating_sub(Duration::from_millis(service.until_age_ms));
     let since = boottime::now().saturating_sub(Duration::from_millis(service.since_age_ms));
     let period = Period { since: since.min(until), until };
-    let has_changed = {
-        let mut service = shared.store_service.lock();
-        let before = service.newest().map(|period| period.since);
-        service.merge(period, shared.min_outage());
-        service.newest().map(|period| period.since) != before
-    };
-    if has_changed {
-        discovery::update_missing_targets(shared);
-    }
+    shared.store_service.lock().merge(period, shared.min_outage());
+    discovery::update_missing_targets(shared);
 }
 
 /// Sends a request with a single reply. A timeout does not close the link, since stages may be running on it.
@@ -237,6 +235,13 @@
                 shared.members.put(facts.name, &facts.entry);
                 replies.send(&Reply::Facts(shared.facts())).await?;
             }
+            Request::ReadStoreService => {
+                let reply = match shared.store_service() {
+                    Some(service) => Reply::StoreService(service),
+                    None => Reply::Refused("the store has not answered".to_owned()),
+                };
+                replies.send(&reply).await?;
+            }
             Request::ReadConfig(newer_than) => {
                 let adopted = shared.adopted.load_full();
                 let reply = match adopted.filter(|adopted| adopted.revision > newer_than) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -162,6 +162,21 @@
         before.map(|at| now.saturating_sub(at))
     }
 
+    /// Returns the period in which the store has answered, as far as this gateway knows.
+    pub(crate) fn store_service(&self) -> Option<messages::StoreService> {
+        let now = boottime::now();
+        let age_ms = |at: Uptime| now.saturating_sub(at).as_millis() as u64;
+        let period = self.store_service.lock().newest()?;
+        let (since_age_ms, until_age_ms) = (age_ms(period.since), age_ms(period.until));
+        Some(messages::StoreService { since_age_ms, until_age_ms })
+    }
+
+    /// Returns whether the store recovered so recently, as far as this gateway knows, that missing targets are kept.
+    pub(crate) fn is_in_grace_period(&self, now: Uptime) -> bool {
+        let period = self.store_service.lock().newest();
+        period.is_some_and(|period| now < period.since + self.grace_period())
+    }
+
     /// Returns the time after the store's recovery in which expired entries of live targets reappear.
     pub(crate) fn grace_period(&self) -> Duration {
         Duration::from_millis(self.settings().lapse_ms)
@@ -186,19 +201,12 @@
 
     /// Returns the state that this gateway reports to others.
     pub(crate) fn facts(&self) -> GatewayFacts {
-        let now = boottime::now();
-        let age = self.freshness.lock().age(now);
-        let age_ms = |at: Uptime| now.saturating_sub(at).as_millis() as u64;
-        let period = self.store_service.lock().newest();
+        let age = self.freshness.lock().age(boottime::now());
         GatewayFacts {
             name: self.settings().name.clone(),
             entry: self.entry(),
             revision: self.adopted.load().as_ref().map_or(0, |adopted| adopted.revision),
             proof_age_ms: age.map(|age| age.as_millis() as u64),
-            store_service: period.map(|period| messages::StoreService {
-                since_age_ms: age_ms(period.since),
-                until_age_ms: age_ms(period.until),
-            }),
             leaving: self.is_stopping(),
         }
     }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -646,10 +646,6 @@
 ///      "description": "Revision in the store of the configuration in force; zero before the first configuration.",
 ///      "type": "integer",
 ///      "format": "uint64"
-///    },
-///    "store_service": {
-///      "description": "Period in which the store has answered without an outage; absent if it never answered.",
-///      "$ref": "#/definitions/StoreService"
 ///    }
 ///  }
 ///}
@@ -667,9 +663,6 @@
     pub proof_age_ms: ::std::option::Option<u64>,
     ///Revision in the store of the configuration in force; zero before the first configuration.
     pub revision: u64,
-    ///Period in which the store has answered without an outage; absent if it never answered.
-    #[serde(default)]
-    pub store_service: ::std::option::Option<StoreService>,
 }
 ///Heartbeat, sent by an entry on each of its links to agents.
 ///
@@ -1292,6 +1285,18 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "store_service"
+///      ],
+///      "properties": {
+///        "store_service": {
+///          "$ref": "#/definitions/StoreService"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1321,6 +1326,8 @@
     Config(ConfigText),
     #[serde(rename = "refused")]
     Refused(::std::string::String),
+    #[serde(rename = "store_service")]
+    StoreService(StoreService),
 }
 impl ::std::convert::From<Report> for Reply {
     fn from(value: Report) -> Self {
@@ -1362,6 +1369,11 @@
         Self::Config(value)
     }
 }
+impl ::std::convert::From<StoreService> for Reply {
+    fn from(value: StoreService) -> Self {
+        Self::StoreService(value)
+    }
+}
 ///Reply of an agent to a heartbeat.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1619,6 +1631,19 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "read_store_service"
+///      ],
+///      "properties": {
+///        "read_store_service": {
+///          "description": "Asks for the period in which the store has answered.",
+///          "type": "null"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1654,6 +1679,8 @@
     Facts(GatewayFacts),
     #[serde(rename = "read_config")]
     ReadConfig(u64),
+    #[serde(rename = "read_store_service")]
+    ReadStoreService,
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
