Gateway: do not delay the call after a failure as if changes came in groups

After an outage a gateway read the targets up to 0.7 s later than the configuration, and up to 0.7 s after it had learned that its history had expired, so a target that left meanwhile was used for that much longer.

Cause: the delay between two reads of a list, which groups changes, also followed a failed call and its backoff. Found in the log of a test: config recovered at 35.53 s, targets at 36.14 s. Ruled out: a lost notification.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -51,7 +51,8 @@
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, sent: Uptime);
 
     /// Waits until the next call is due. Changes come in groups and each call has a price, so the call is delayed,
-    /// except for the first two: a gateway that has just started knows no targets and no other gateways.
+    /// except for the first two, since a gateway that has just started knows no targets and no other gateways, and after
+    /// a call that brought no answer or no changes because the history has expired.
     fn wait_before_read(
         &self,
         _shared: &Shared<D, S>,
@@ -93,11 +94,12 @@
                 shared.record_store_answer(F::KIND, boottime::now());
                 tracing::info!(kind = F::KIND, after, "store history expired; reading all objects");
                 after = 0;
-                is_delayed = true;
+                is_delayed = false;
             }
             Err(err) => {
                 shared.metrics.store_failures.add(1, &[KeyValue::new("kind", F::KIND)]);
                 failures += 1;
+                is_delayed = false;
                 let took = boottime::now().saturating_sub(sent);
                 let took_ms = took.as_millis() as u64;
                 tracing::warn!(kind = F::KIND, after, failures, took_ms, %err, "call to the store failed");
