Gateway: end the grace period by the earliest recovery that is known

A gateway that noticed the end of an outage later than others kept a removed target for the grace period from its own recovery, up to 1.6 s too long, although it knew the earlier recovery.

Cause: the task that ends the grace period slept until the end it had computed at its start, and peers were asked only while the shorter period ran, so nothing looked again in between. The task now wakes when a peer's period has been merged.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -204,18 +204,19 @@
     }
 }
 
-/// Removes the missing targets when the grace period after the store's recovery has ended.
+/// Removes the missing targets when the grace period after the store's recovery has ended. The recovery may turn out to
+/// be earlier while it waits.
 async fn remove_missing_targets<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     while shared.targets.missing_count() > 0 {
-        let recovered_at = shared.store_service.lock().newest().map(|period| period.since);
-        let ends_at = recovered_at.unwrap_or_default() + shared.grace_period();
-        time::sleep(ends_at.saturating_sub(boottime::now())).await;
+        let merged = shared.store_service_merged.notified();
+        let remaining = shared.remaining_grace_period(boottime::now());
+        let _ = time::timeout(remaining, merged).await;
         update_missing_targets(&shared);
     }
 }
 
 /// Removes the missing targets if, as far as is known now, the grace period after the store's recovery has ended.
-pub(crate) fn update_missing_targets<D: Dialect, S: Store>(shared: &Shared<D, S>) {
+fn update_missing_targets<D: Dialect, S: Store>(shared: &Shared<D, S>) {
     let Some(period) = shared.store_service.lock().newest() else { return };
     let (now, grace_period) = (boottime::now(), shared.grace_period());
     let removed = shared.targets.update(|list| {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,10 +13,10 @@
 };
 use tokio::time;
 
+use crate::batcher;
 use crate::dialect::Dialect;
 use crate::members::{Member, Owner};
 use crate::shared::Shared;
-use crate::{batcher, discovery};
 
 /// Interval at which peers are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
@@ -132,7 +132,7 @@
         return;
     }
     shared.members.on_facts(&facts);
-    if shared.is_in_grace_period(boottime::now()) {
+    if !shared.remaining_grace_period(boottime::now()).is_zero() {
         merge_store_service(&shared, &member).await;
     }
     if let Err(err) = sync_config(&shared, &member, &facts, sent).await {
@@ -161,7 +161,7 @@
     let since = boottime::now().saturating_sub(Duration::from_millis(service.since_age_ms));
     let period = Period { since: since.min(until), until };
     shared.store_service.lock().merge(period, shared.min_outage());
-    discovery::update_missing_targets(shared);
+    shared.store_service_merged.notify_waiters();
 }
 
 /// Sends a request with a single reply. A timeout does not close the link, since stages may be running on it.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -55,6 +55,8 @@
     /// When the store last answered a watch, by kind of objects.
     pub(crate) store_answers: Mutex<BTreeMap<&'static str, Uptime>>,
     pub(crate) store_service: Mutex<StoreService>,
+    /// Notified when another gateway has told what it knows of the store's service.
+    pub(crate) store_service_merged: Notify,
     /// Notified at each answer of the store to a watch.
     pub(crate) store_answered: Notify,
     /// Whether the store answered the last call for the configuration.
@@ -88,6 +90,7 @@
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
             store_service: Mutex::default(),
+            store_service_merged: Notify::new(),
             store_answered: Notify::new(),
             is_store_reachable: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
@@ -171,10 +174,11 @@
         Some(messages::StoreService { since_age_ms, until_age_ms })
     }
 
-    /// Returns whether the store recovered so recently, as far as this gateway knows, that missing targets are kept.
-    pub(crate) fn is_in_grace_period(&self, now: Uptime) -> bool {
+    /// Returns the time for which missing targets are kept, as far as this gateway knows when the store recovered.
+    pub(crate) fn remaining_grace_period(&self, now: Uptime) -> Duration {
         let period = self.store_service.lock().newest();
-        period.is_some_and(|period| now < period.since + self.grace_period())
+        let ends_at = period.map(|period| period.since + self.grace_period());
+        ends_at.unwrap_or_default().saturating_sub(now)
     }
 
     /// Returns the time after the store's recovery in which expired entries of live targets reappear.
