--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -72,6 +72,8 @@
     let mut after: Version = 0;
     let mut failures = 0_u32;
     let mut is_delayed = false;
+    // Whether the history has expired since the last changes were read.
+    let mut has_expired = false;
     loop {
         handler.wait_before_read(&shared, is_delayed).await;
         let sent = boottime::now();
@@ -86,6 +88,7 @@
                 }
                 failures = 0;
                 let is_whole = after == 0;
+                has_expired &= is_whole;
                 is_delayed = !is_whole;
                 after = changes.version;
                 handler.apply(&shared, changes, is_whole, sent);
@@ -95,6 +98,10 @@
                 tracing::info!(kind = F::KIND, after, "store history expired; reading all objects");
                 after = 0;
                 is_delayed = false;
+                // Spaces the calls while the store forgets its history again and again.
+                if std::mem::replace(&mut has_expired, true) {
+                    time::sleep(CHANGE_BATCH_DELAY).await;
+                }
             }
             Err(err) => {
                 shared.metrics.store_failures.add(1, &[KeyValue::new("kind", F::KIND)]);
