Gateway: log and measure the limits that targets name

The logs could not tell whether a gateway had read a target's limit, or kept it by itself, or lost it with a change of the membership. Each change of a limit is one line now; number, sum and age of the limits are metrics by pool.

Nothing acts on the limit yet. Of two replies the one that was surely made later counts: a reply without a limit that was overtaken does not end one. Values that are no number neither set nor end a limit; of several the lowest counts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod stage_plan;
 pub mod stage_queue;
 pub mod store_service;
+pub mod target_limit;
 pub mod targets;
 pub mod view;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -276,6 +276,7 @@
             };
             let sent = sent(connection);
             let head = D::read_reply(response.status(), response.headers());
+            self.shared.limits.observe(&tracked, head.limit, now);
             if !head.not_run {
                 return Ok(Reply { sent, head, response });
             }
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use crate::dialect::{Dialect, Piece, PieceError, PieceResult};
+use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult};
 use crate::shared::Shared;
 use crate::targets::TrackedTarget;
 use crate::upstream::Client;
@@ -346,7 +346,8 @@
     let pieces: Vec<Piece> = tickets.iter().map(|ticket| to_piece(ticket, started)).collect();
     shared.metrics.stage_pieces.add(pieces.len() as u64, &[KeyValue::new("pool", pool.clone())]);
     let timeout = expected.mul_f64(CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_MARGIN;
-    let reply = send_pieces::<D>(&client, &tracked, &pieces, timeout).await;
+    let (reply, limit) = send_pieces::<D>(&client, &tracked, &pieces, timeout).await;
+    shared.limits.observe(&tracked, limit, started);
     let now = boottime::now();
     let duration = now.saturating_sub(started);
     let (results, outcome) = match reply {
@@ -478,20 +479,21 @@
     tracked: &TrackedTarget,
     pieces: &[Piece],
     timeout: Duration,
-) -> CallOutcome {
+) -> (CallOutcome, LimitStatement) {
     let req = post_request::<D>(tracked, D::STAGE_PATH, D::stage_call(pieces));
     let reply = match client.exchange(req, true, timeout, MAX_REPLY_BYTES).await {
         Ok(reply) => reply,
-        Err(err) => return CallOutcome::Failed(err.to_string()),
+        Err(err) => return (CallOutcome::Failed(err.to_string()), LimitStatement::Unknown),
     };
-    match reply.status() {
+    let outcome = match reply.status() {
         StatusCode::OK => match D::stage_results(reply.body(), pieces.len()) {
             Ok(results) => CallOutcome::Results(results),
             Err(err) => CallOutcome::Failed(err.to_string()),
         },
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => CallOutcome::Busy,
         status => CallOutcome::Failed(format!("status {status}")),
-    }
+    };
+    (outcome, D::read_reply(reply.status(), reply.headers()).limit)
 }
 
 fn post_request<D: Dialect>(
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -60,8 +60,20 @@
     pub resume_after: Option<u64>,
 }
 
+/// What a target's reply says about the rate of requests that the target takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitStatement {
+    /// It names no limit.
+    #[default]
+    Unlimited,
+    /// It names a limit, in requests a second from all gateways together; finite and not negative.
+    PerSecond(f64),
+    /// It names a limit that cannot be read, or the reply is not from the target that was called.
+    Unknown,
+}
+
 /// Parsed headers of a target's reply.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyHead {
     /// Id of the attempt that the reply answers.
     pub request: Option<String>,
@@ -69,6 +81,8 @@
     pub is_signed: bool,
     /// Whether the reply proves that the request did not run.
     pub not_run: bool,
+    /// What the reply says about the target's limit.
+    pub limit: LimitStatement,
 }
 
 /// A unit of batched work: one part of a stage, sent to a target in a call together with other pieces.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod head_timeout;
 mod http_server;
 mod learned_durations;
+mod limits;
 mod members;
 mod metrics;
 mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,9 @@
     pub(crate) store_failures: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
+    pub(crate) limited_targets: Gauge<u64>,
+    pub(crate) target_limits: Gauge<f64>,
+    pub(crate) limit_age: Gauge<f64>,
 }
 
 impl Metrics {
@@ -47,6 +50,19 @@
                 .u64_gauge("marigold_config_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            limited_targets: meter
+                .u64_gauge("marigold_limited_targets")
+                .with_description("Targets that name a limit, by pool")
+                .build(),
+            target_limits: meter
+                .f64_gauge("marigold_target_limits_per_second")
+                .with_description("Sum of the limits that targets name, by pool")
+                .build(),
+            limit_age: meter
+                .f64_gauge("marigold_target_limit_age_seconds")
+                .with_unit("s")
+                .with_description("Time since the reply that named the oldest known limit, by pool")
+                .build(),
             exporter,
         })
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::batcher::Batcher;
 use crate::dialect::Dialect;
 use crate::learned_durations::LearnedDurations;
+use crate::limits::Limits;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::stage_runner::ReleaseQueue;
@@ -44,6 +45,7 @@
     pub(crate) adopted: ArcSwapOption<AdoptedConfig>,
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) targets: TargetTable,
+    pub(crate) limits: Limits,
     pub(crate) members: Members,
     pub(crate) batcher: Batcher,
     pub(crate) release_queue: ReleaseQueue,
@@ -81,6 +83,7 @@
             adopted: ArcSwapOption::empty(),
             freshness: Mutex::default(),
             targets: TargetTable::default(),
+            limits: Limits::default(),
             members,
             batcher: Batcher::default(),
             release_queue: ReleaseQueue::default(),
@@ -268,6 +271,12 @@
             let age = now.saturating_sub(*at).as_secs_f64();
             self.metrics.store_answer_age.record(age, &[KeyValue::new("kind", *kind)]);
         }
+        for (pool, limits) in self.limits.summary(now) {
+            let labels = [KeyValue::new("pool", pool)];
+            self.metrics.limited_targets.record(limits.targets, &labels);
+            self.metrics.target_limits.record(limits.per_s, &labels);
+            self.metrics.limit_age.record(limits.oldest_notice_s, &labels);
+        }
         self.metrics.text()
     }
 
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -50,6 +50,13 @@
         pools.values().flatten().find(|tracked| tracked.target.addr == addr).cloned()
     }
 
+    /// Returns whether a target with this id and start accepts requests.
+    pub(crate) fn has_start(&self, id: &str, started_at_ms: u64) -> bool {
+        let pools = self.pools.load();
+        let mut all = pools.values().flatten().map(|tracked| &tracked.target);
+        all.any(|target| target.id == id && target.started_at_ms == started_at_ms)
+    }
+
     /// Returns the number of targets that accept requests.
     pub(crate) fn len(&self) -> usize {
         self.pools.load().values().map(Vec::len).sum()
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -62,6 +62,17 @@
     pub body: Vec<u8>,
 }
 
+/// A request or call that reached the replica, whether or not it ran.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When its head had arrived.
+    pub at: Instant,
+    /// ID of the attempt; empty for calls of the gateways themselves.
+    pub request: String,
+    /// Method and path, separated by a space.
+    pub request_line: String,
+}
+
 /// A completed piece, the unit of batched work in a stage call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CompletedPiece {
@@ -77,6 +88,9 @@
 struct State {
     faults: Mutex<VecDeque<Fault>>,
     runs: Mutex<Vec<Run>>,
+    arrivals: Mutex<Vec<Arrival>>,
+    /// Value of the header with which each reply names the replica's limit.
+    limit: Mutex<Option<String>>,
     completed: Mutex<HashMap<String, CompletedPiece>>,
     /// Completed pieces whose results were freed.
     freed: Mutex<HashMap<String, CompletedPiece>>,
@@ -155,6 +169,16 @@
         self.state.runs.lock().clone()
     }
 
+    /// Returns the requests and calls that arrived, in this order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.arrivals.lock().clone()
+    }
+
+    /// Names a limit, in requests a second, in all replies from now on; `None` ends it.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        *self.state.limit.lock() = limit.map(str::to_owned);
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.state.in_progress.load(Ordering::SeqCst)
@@ -196,6 +220,11 @@
 impl Connection {
     async fn serve(mut self) -> std::io::Result<()> {
         while let Some(run) = self.read_request().await? {
+            self.state.arrivals.lock().push(Arrival {
+                at: Instant::now(),
+                request: run.request.clone(),
+                request_line: run.request_line.clone(),
+            });
             let expected = run.headers.get("expect-instance").map_or("", String::as_str);
             if expected != self.options.id {
                 self.respond(421, &[("Instance-Id", &self.options.id.clone())], b"").await?;
@@ -255,9 +284,16 @@
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
+        head.push_str(&self.limit_header());
         self.stream.write_all(&[head.as_bytes(), b"\r\n", body].concat()).await
     }
 
+    /// Returns the header line that names the replica's limit, or nothing.
+    fn limit_header(&self) -> String {
+        let limit = self.state.limit.lock();
+        limit.as_ref().map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"))
+    }
+
     async fn run_pieces(&mut self, run: &Run) -> std::io::Result<()> {
         let stage_call_lock = self.stage_call_lock.clone();
         let _guard = stage_call_lock.lock().await;
@@ -343,6 +379,7 @@
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
+        head.push_str(&self.limit_header());
         self.stream.write_all(format!("{head}\r\n").as_bytes()).await?;
         let after = run.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in after + 1..=self.options.events {
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -52,6 +52,7 @@
     /// Whether the folder is kept on drop.
     pub keeps_logs: bool,
     version: u64,
+    store_addr: SocketAddr,
     _server: Server,
 }
 
@@ -88,6 +89,7 @@
             folder,
             keeps_logs: false,
             version: 0,
+            store_addr: addr,
             _server: server,
         };
         cluster.configure(&[API_KEY]).await;
@@ -172,6 +174,14 @@
         removed.await.expect("the in-memory store accepts a removal");
     }
 
+    /// Starts another gateway and waits until it is ready.
+    pub async fn add_gateway(&mut self) {
+        let number = self.gateways.len();
+        let gateway = self.spawn_gateway(number, self.store_addr).await;
+        self.gateways.push(gateway);
+        self.wait_ready(number, true).await;
+    }
+
     async fn spawn_gateway(&self, number: usize, store_addr: SocketAddr) -> Gateway {
         let name = format!("gateway-{number}");
         let [addr, ready_addr, link_addr, metrics_addr] =
