Gateway: keep the limits of targets by grants of one owner

A target's rate is shared by all gateways, so one of them, the owner of the limit, grants each request out of a token bucket: the pool's owner where the pool runs stages, and otherwise one chosen by the target's id. The bucket gives seven tenths of the limit, so that two gateways that disagree on the owner stay below one and a half times; it is empty at a new owner, and an owner that does not reach all gateways grants the part it reaches. Requests, retries, streams that go on and calls of stages all need a grant. What the limits leave no place for uses other targets or is refused at once.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -187,7 +187,8 @@
             | Request::Release(_)
             | Request::Facts(_)
             | Request::ReadConfig(_)
-            | Request::ReadStoreService => {
+            | Request::ReadStoreService
+            | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an agent does not serve this".to_owned())).await?
             }
         }
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -60,6 +60,12 @@
     owners
 }
 
+/// Returns the owner of the limit that a target has named. Each target is assigned for itself, since gateways know
+/// different targets with limits.
+pub fn limit_owner(target: &str, candidates: &[Candidate]) -> Option<Name> {
+    owners(&[target.to_owned()], candidates).into_values().next()
+}
+
 /// Key for the rendezvous hashing of watchers; all gateways have to use the same.
 const WATCHERS_KEY: &str = "configuration";
 
--- a/crates/core/tests/target_limit.rs
+++ b/crates/core/tests/target_limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use marigold_core::target_limit::Notice;
+use marigold_core::target_limit::{self, Ask, Grant, Grants, Notice};
 
 fn notice(per_s: Option<f64>, sent_ms: u64, received_ms: u64) -> Notice {
     let (sent_at, received_at) =
@@ -37,3 +37,123 @@
     let low = notice(Some(0.5), 10, 20);
     assert_merged(low, notice(Some(2.0), 12, 18), low);
 }
+
+fn ask(asker: &str, priority: u8, customer: &str, wanted: u32) -> Ask {
+    Ask { asker: asker.to_owned(), priority, customer: Some(customer.to_owned()), wanted }
+}
+
+/// Asks each `step_ms` in turn for `seconds`, and returns the times of all granted requests.
+fn run(
+    grants: &mut Grants,
+    limit: f64,
+    reachable: f64,
+    seconds: u64,
+    step_ms: u64,
+    asks: &[Ask],
+) -> Vec<(u64, usize)> {
+    let rate = target_limit::granted_rate(limit, reachable);
+    let mut sent = Vec::new();
+    for (number, ms) in (0..seconds * 1_000).step_by(step_ms as usize).enumerate() {
+        let index = number % asks.len();
+        let now = Duration::from_millis(ms);
+        if let Grant::Granted(count) = grants.ask(now, limit, rate, asks[index].clone()) {
+            sent.extend((0..count).map(|_| (ms, index)));
+        }
+    }
+    sent
+}
+
+fn busiest_window(sent: &[(u64, usize)]) -> usize {
+    let count = |from: u64| sent.iter().filter(|(at, _)| (from..from + 4_000).contains(at)).count();
+    sent.iter().map(|(at, _)| count(*at)).max().unwrap_or(0)
+}
+
+/// Two owners of one limit, whose gateways cannot agree, stay within one and a half times the limit and five requests.
+#[test]
+fn ask_two_owners_stay_within_the_bound() {
+    for limit in [0.0, 0.1, 0.5, 1.0, 2.0, 7.5, 40.0, 1_000.0] {
+        let asks = [ask("a", 0, "c", 64), ask("b", 0, "c", 64)];
+        let mut sent: Vec<(u64, usize)> = Vec::new();
+        for _ in 0..2 {
+            let mut owner = Grants::new(Duration::ZERO);
+            // One owner has been idle, so that its bucket is full.
+            owner.ask(Duration::ZERO, limit, 1_000.0, ask("a", 0, "c", 0));
+            sent.extend(run(&mut owner, limit, 1.0, 20, 5, &asks));
+        }
+        let busiest = busiest_window(&sent);
+        assert!(busiest as f64 <= 6.0 * limit + 5.0, "limit {limit}: {busiest} in 4 s");
+        assert!(busiest as f64 >= 2.0 * 4.0 * 0.6 * limit, "limit {limit}: only {busiest} in 4 s");
+    }
+}
+
+/// Parts of a divided cluster together grant no more than the undivided one.
+#[test]
+fn granted_rate_of_partitions_adds_up() {
+    let parts = [0.5, 0.25, 0.25];
+    let sum: f64 = parts.iter().map(|part| target_limit::granted_rate(10.0, *part)).sum();
+    assert!(sum <= target_limit::granted_rate(10.0, 1.0) + 1e-9);
+}
+
+/// With 330 gateways and one request a second, each gateway still gets its turn, and the asks stay few.
+#[test]
+fn ask_330_gateways_share_one_request_a_second() {
+    let mut grants = Grants::new(Duration::ZERO);
+    let rate = target_limit::granted_rate(1.0, 1.0);
+    let mut ask_at: Vec<u64> = (0..330).collect();
+    let (mut sent, mut asks) = (vec![0_u32; 330], 0);
+    for ms in 0..60_000 {
+        for gateway in 0..330 {
+            if ask_at[gateway] > ms {
+                continue;
+            }
+            asks += 1;
+            let now = Duration::from_millis(ms);
+            match grants.ask(now, 1.0, rate, ask(&format!("g{gateway}"), 0, "c", 1)) {
+                Grant::Granted(count) => {
+                    sent[gateway] += count;
+                    ask_at[gateway] = ms + 1;
+                }
+                Grant::Denied { wait, .. } => ask_at[gateway] = ms + wait.as_millis() as u64,
+            }
+        }
+    }
+    let total: u32 = sent.iter().sum();
+    assert!((35..=44).contains(&total), "{total} in 60 s");
+    println!("{asks} asks in 60 s, {total} granted");
+    assert!(asks <= 330 * 15, "{asks} asks in 60 s");
+}
+
+#[test]
+fn ask_urgent_requests_come_first() {
+    let asks = [ask("a", 0, "c", 1), ask("a", 4, "c", 1), ask("b", 4, "c", 1)];
+    let sent = run(&mut Grants::new(Duration::ZERO), 2.0, 1.0, 60, 20, &asks);
+    let urgent = sent.iter().filter(|(_, index)| *index == 0).count();
+    assert!(urgent * 10 >= sent.len() * 9, "{urgent} of {} are urgent", sent.len());
+}
+
+#[test]
+fn ask_customers_get_equal_shares() {
+    let mut asks = vec![ask("a", 0, "large", 1); 9];
+    asks.push(ask("a", 0, "small", 1));
+    let sent = run(&mut Grants::new(Duration::ZERO), 2.0, 1.0, 60, 20, &asks);
+    let small = sent.iter().filter(|(_, index)| *index == 9).count();
+    assert!(small * 10 >= sent.len() * 4, "{small} of {} for the small customer", sent.len());
+}
+
+#[test]
+fn ask_alone_uses_the_whole_rate() {
+    let sent = run(&mut Grants::new(Duration::ZERO), 10.0, 1.0, 20, 5, &[ask("a", 0, "c", 8)]);
+    assert!((135..=144).contains(&sent.len()), "{} in 20 s", sent.len());
+}
+
+#[test]
+fn retry_after_urgent_callers_return_first() {
+    use rand::SeedableRng as _;
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    let time_left = Duration::from_secs(3);
+    for _ in 0..100 {
+        let urgent = target_limit::retry_after(time_left, 0, &mut rng);
+        let other = target_limit::retry_after(time_left, 200, &mut rng);
+        assert!(urgent < other && other <= time_left / 3, "{urgent:?} {other:?}");
+    }
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -68,7 +68,8 @@
             | Request::Release(_)
             | Request::Facts(_)
             | Request::ReadConfig(_)
-            | Request::ReadStoreService => {
+            | Request::ReadStoreService
+            | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an entry does not serve this".to_owned())).await
             }
         }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -10,13 +10,14 @@
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::router::Candidate;
 use marigold_core::routes::{Customer, Repeat, Route};
-use marigold_core::{admission, placement};
+use marigold_core::{admission, placement, target_limit};
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
-use crate::dialect::{CallerHead, Dialect, Forward, ReplyHead};
+use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
+use crate::limits::{self, Demand};
 use crate::relay::EventStream;
 use crate::response::Failure;
 use crate::shared::{AdoptedConfig, Shared};
@@ -29,6 +30,8 @@
 const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.25..0.33;
 /// Attempts at targets that did not run a request, after which it is refused.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
+/// Targets with limits that were denied to a request, after which it uses targets without limits only.
+const MAX_DENIED_ASKS: usize = 4;
 /// Number of route priorities that are distinguished. The deployments declare three.
 const ROUTE_PRIORITIES: u8 = 4;
 /// Lowest urgency that targets accept; 0 is the highest.
@@ -146,7 +149,9 @@
 
     fn stage_runner(&self, since: Uptime) -> StageRunner<'_> {
         let has_stages = !self.route.stages.is_empty();
-        let target = has_stages.then(|| self.pick_target(boottime::now())).flatten();
+        let now = boottime::now();
+        let held = self.shared.limits.held(self.demand(), false, now);
+        let target = has_stages.then(|| self.pick_target(now, &held)).flatten();
         StageRunner {
             routing: &self.adopted.routing,
             route: &self.route,
@@ -202,12 +207,19 @@
         self.can_retry() && self.withdraw_retry(reason)
     }
 
-    fn pick_target(&self, now: Uptime) -> Option<Arc<TrackedTarget>> {
+    fn demand(&self) -> Demand<'_> {
+        let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
+        Demand { priority: self.priority(), customer }
+    }
+
+    /// Chooses among the targets that have not been tried and are not in `held`.
+    fn pick_target(&self, now: Uptime, held: &HashSet<Name>) -> Option<Arc<TrackedTarget>> {
         let targets = self.shared.targets.in_pool(&self.pool);
-        let untried: Vec<Arc<TrackedTarget>> = targets
-            .into_iter()
-            .filter(|tracked| !self.tried.contains(&tracked.target.id))
-            .collect();
+        let is_candidate = |tracked: &Arc<TrackedTarget>| {
+            let id = &tracked.target.id;
+            !self.tried.contains(id) && !held.contains(id)
+        };
+        let untried: Vec<Arc<TrackedTarget>> = targets.into_iter().filter(is_candidate).collect();
         let settings = self.shared.settings();
         let candidates: Vec<Candidate> =
             untried.iter().map(|tracked| tracked.candidate(&settings.data_centre, now)).collect();
@@ -236,12 +248,28 @@
         resume_after: Option<u64>,
     ) -> Result<Reply, Failure> {
         let mut not_run = 0;
+        // Targets whose limits left no request for this one.
+        let mut denied = HashSet::new();
         loop {
-            let now = boottime::now();
-            let Some(tracked) = self.pick_target(now).filter(|_| not_run < MAX_NOT_RUN_ATTEMPTS)
-            else {
-                return Err(self.no_target_failure());
+            let mut now = boottime::now();
+            let is_denied_often = denied.len() >= MAX_DENIED_ASKS;
+            let mut held = self.shared.limits.held(self.demand(), is_denied_often, now);
+            held.extend(denied.iter().cloned());
+            let picked = self.pick_target(now, &held).filter(|_| not_run < MAX_NOT_RUN_ATTEMPTS);
+            let Some(tracked) = picked else {
+                let is_limited = not_run < MAX_NOT_RUN_ATTEMPTS && self.is_pool_in(&held);
+                return Err(if is_limited {
+                    self.limit_failure()
+                } else {
+                    self.no_target_failure()
+                });
             };
+            if !limits::acquire(&self.shared, &tracked, self.demand()).await {
+                denied.insert(tracked.target.id.clone());
+                continue;
+            }
+            // Asking the owner of a limit takes time.
+            now = now.max(boottime::now());
             self.tried.insert(tracked.target.id.clone());
             let mut connection = match Connection::open(tracked.target.addr).await {
                 Ok(connection) => connection,
@@ -276,7 +304,13 @@
             };
             let sent = sent(connection);
             let head = D::read_reply(response.status(), response.headers());
-            self.shared.limits.observe(&tracked, head.limit, now);
+            let is_own_reply =
+                head.not_run || (head.is_signed && head.request.as_deref() == Some(self.request()));
+            let limit = match head.limit {
+                LimitStatement::Unlimited if !is_own_reply => LimitStatement::Unknown,
+                limit => limit,
+            };
+            limits::observe(&self.shared, &tracked, limit, now);
             if !head.not_run {
                 return Ok(Reply { sent, head, response });
             }
@@ -301,6 +335,39 @@
         }
     }
 
+    /// Returns whether a target of the pool that has not been tried is in `held`.
+    fn is_pool_in(&self, held: &HashSet<Name>) -> bool {
+        !held.is_empty()
+            && self.shared.targets.in_pool(&self.pool).iter().any(|tracked| {
+                held.contains(&tracked.target.id) && !self.tried.contains(&tracked.target.id)
+            })
+    }
+
+    /// Refuses the request, before any work is done, while the limits of the pool's targets leave no request for it.
+    ///
+    /// # Errors
+    /// A refusal.
+    pub(crate) fn check_limits(&self) -> Result<(), Failure> {
+        let now = boottime::now();
+        let held = self.shared.limits.held(self.demand(), false, now);
+        if self.is_pool_in(&held) && self.pick_target(now, &held).is_none() {
+            return Err(self.limit_failure());
+        }
+        Ok(())
+    }
+
+    /// Returns the failure of a request for which the limits of the targets leave no place.
+    fn limit_failure(&self) -> Failure {
+        if self.runs > 0 {
+            return self.no_target_failure();
+        }
+        let labels = [KeyValue::new("pool", self.pool.clone())];
+        self.shared.metrics.limit_refusals.add(1, &labels);
+        let time_left = self.deadline.saturating_sub(boottime::now());
+        let retry_after = target_limit::retry_after(time_left, self.priority(), &mut rand::rng());
+        Failure::refused("the targets take no more requests at present", retry_after)
+    }
+
     fn no_target_failure(&self) -> Failure {
         if self.runs > 0 {
             return Failure::new(
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -19,6 +19,7 @@
 use tokio::time;
 
 use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult};
+use crate::limits::{self, Demand};
 use crate::shared::Shared;
 use crate::targets::TrackedTarget;
 use crate::upstream::Client;
@@ -52,6 +53,9 @@
 /// Weight of a new sample in the slowdown.
 const SLOWDOWN_SAMPLE_WEIGHT: f64 = 0.5;
 
+/// Calls carry pieces of many requests; their order is that of the queue.
+const CALL_DEMAND: Demand<'static> = Demand { priority: 0, customer: None };
+
 /// A stage of a request.
 struct Job {
     /// Sequence number among the jobs of this gateway; groups the pieces in the queue.
@@ -260,8 +264,14 @@
     let state = pools.entry(pool.to_owned()).or_default();
     state.queue.remove_if(|ticket| ticket.job.is_aborted());
     let call_duration = spec.duration(spec.max_pieces);
-    let healthy = targets.iter().filter(|tracked| !tracked.load.snapshot(now).ejected).count();
-    let calls_per_s = f64::from(spec.slots) * healthy as f64 / call_duration.as_secs_f64();
+    let healthy = targets.iter().filter(|tracked| !tracked.load.snapshot(now).ejected);
+    let unlimited_calls_per_s = f64::from(spec.slots) / call_duration.as_secs_f64();
+    let calls_per_s: f64 = healthy
+        .map(|tracked| {
+            let limit = shared.limits.per_s(tracked);
+            limit.map_or(unlimited_calls_per_s, |limit| limit.min(unlimited_calls_per_s))
+        })
+        .sum();
     let rate = spec.max_pieces as f64 * calls_per_s;
     for piece in state.queue.dequeue_unserviceable(now, call_duration, rate) {
         piece.ticket.job.fail(PieceFailure::Overloaded);
@@ -270,6 +280,9 @@
         if state.queue.is_empty() {
             return;
         }
+        if !limits::acquire_as_owner(shared, &tracked, CALL_DEMAND, 1) {
+            continue;
+        }
         let target = state.targets.entry(tracked.target.id.clone()).or_default();
         let offer = Offer {
             data_centre: &tracked.target.data_centre,
@@ -280,6 +293,7 @@
         };
         let pieces = state.queue.dequeue_batch(now, &offer);
         if pieces.is_empty() {
+            limits::refund(shared, &tracked);
             continue;
         }
         target.running_calls += 1;
@@ -347,7 +361,7 @@
     shared.metrics.stage_pieces.add(pieces.len() as u64, &[KeyValue::new("pool", pool.clone())]);
     let timeout = expected.mul_f64(CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_MARGIN;
     let (reply, limit) = send_pieces::<D>(&client, &tracked, &pieces, timeout).await;
-    shared.limits.observe(&tracked, limit, started);
+    limits::observe(&shared, &tracked, limit, started);
     let now = boottime::now();
     let duration = now.saturating_sub(started);
     let (results, outcome) = match reply {
@@ -493,7 +507,12 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => CallOutcome::Busy,
         status => CallOutcome::Failed(format!("status {status}")),
     };
-    (outcome, D::read_reply(reply.status(), reply.headers()).limit)
+    let limit = match (&outcome, D::read_reply(reply.status(), reply.headers()).limit) {
+        // A reply that is not the target's answer to the call does not end its limit.
+        (CallOutcome::Failed(_), LimitStatement::Unlimited) => LimitStatement::Unknown,
+        (_, limit) => limit,
+    };
+    (outcome, limit)
 }
 
 fn post_request<D: Dialect>(
@@ -545,6 +564,10 @@
         let target = state.targets.entry(tracked.target.id.clone()).or_default();
         (std::mem::take(&mut target.pending_releases), target.client(&tracked))
     };
+    if shared.limits.per_s(&tracked).is_some() {
+        // A target in need gets no calls that are not needed: the results expire without them.
+        return;
+    }
     let req = post_request::<D>(&tracked, D::RELEASE_PATH, D::release_call(&handles));
     match client.exchange(req, true, RELEASE_TIMEOUT, MAX_REPLY_BYTES).await {
         Ok(_) => {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -192,7 +192,6 @@
                 }
             }
         });
-        shared.limits.retain(|id, started_at_ms| shared.targets.has_start(id, started_at_ms));
         let missing = shared.targets.missing_count();
         tracing::info!(
             changed = changes.objects.len(),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,12 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::ownership::{self, Candidate};
+use marigold_core::targets::Target;
 use marigold_link::peer::Peer;
 use marigold_link::security::Security;
+use marigold_process::boottime;
 use marigold_schema::messages::{GatewayEntry, GatewayFacts};
 use marigold_schema::settings::GatewaySettings;
 use parking_lot::Mutex;
@@ -24,6 +27,10 @@
 /// Maximum number of gateways polled at a time that have never answered. Reaches all gateways of the deployments within
 /// one or two seconds.
 const MAX_UNREACHED_POLLED: usize = 8;
+/// Maximum number of limited targets whose owners are polled.
+const MAX_LIMITS_POLLED: usize = 16;
+/// Time after which a gateway that is unresponsive counts as gone, and not as cut off with callers of its own.
+const GONE_AFTER: Duration = Duration::from_secs(30);
 
 /// Another gateway.
 #[derive(Clone)]
@@ -33,6 +40,8 @@
     pub(crate) peer: Arc<Peer>,
     weight: f64,
     missed_polls: u32,
+    /// When it was found to be unresponsive.
+    silent_since: Option<Uptime>,
     is_leaving: bool,
     is_settled: bool,
     /// Whether it has ever answered; until then `is_settled` comes from its entry in the store.
@@ -133,6 +142,7 @@
             peer,
             weight,
             missed_polls: 0,
+            silent_since: None,
             is_leaving: false,
             is_settled,
             has_answered: false,
@@ -164,6 +174,7 @@
     pub(crate) fn on_facts(&self, facts: &GatewayFacts) {
         self.update(&facts.name, "gateway reported a new state", |member| {
             member.missed_polls = 0;
+            member.silent_since = None;
             member.is_leaving = facts.leaving;
             member.is_settled = facts.entry.settled;
             member.has_answered = true;
@@ -193,6 +204,9 @@
         let Some(member) = state.others.get_mut(name) else { return };
         let before = (member.is_alive(), member.is_settled);
         change(member);
+        if !member.is_alive() {
+            member.silent_since.get_or_insert_with(boottime::now);
+        }
         if (member.is_alive(), member.is_settled) != before {
             tracing::info!(
                 member = name,
@@ -230,7 +244,8 @@
 
     /// Returns the gateways to poll: owners of pools and watchers, those that would be owners or watchers if they were
     /// responsive, some that have never answered, and a random one, so that changes reach all gateways.
-    pub(crate) fn to_poll(&self) -> Vec<Member> {
+    /// `limited_targets` are the ids and pools of targets whose limits have owners.
+    pub(crate) fn to_poll(&self, limited_targets: &[(Name, Name)]) -> Vec<Member> {
         let state = self.state.lock();
         let all = self.candidates(&state, |_| true);
         let alive = self.candidates(&state, Member::is_alive);
@@ -240,6 +255,12 @@
             .chain(ownership::watchers(&alive, WATCHER_COUNT))
             .chain(ownership::watchers(&all, WATCHER_COUNT))
             .collect();
+        for (target, pool) in limited_targets.iter().take(MAX_LIMITS_POLLED) {
+            if !state.pools.contains(pool) {
+                let owners = [&all, &alive].map(|members| ownership::limit_owner(target, members));
+                names.extend(owners.into_iter().flatten());
+            }
+        }
         let unreached = state.others.values().filter(|member| !member.has_answered);
         names.extend(unreached.take(MAX_UNREACHED_POLLED).map(|member| member.name.clone()));
         names.extend(state.others.keys().choose(&mut rand::rng()).cloned());
@@ -252,6 +273,32 @@
         ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
     }
 
+    /// Returns the owner of a target's limit: the owner of its pool where stages run, since that gateway sends the calls,
+    /// and a gateway chosen by the target's id otherwise.
+    pub(crate) fn limit_owner(&self, target: &Target) -> Owner {
+        let state = self.state.lock();
+        if state.pools.contains(&target.pool) {
+            drop(state);
+            return self.owner(&target.pool);
+        }
+        let alive = self.candidates(&state, Member::is_alive);
+        let owner = ownership::limit_owner(&target.id, &alive);
+        let member = owner.and_then(|owner| state.others.get(&owner).cloned());
+        member.map_or(Owner::Local, Owner::Remote)
+    }
+
+    /// Returns which part of the gateways this one reaches, itself included. Those that have been unresponsive for long
+    /// and those that are being stopped do not count.
+    pub(crate) fn reachable_part(&self, now: Uptime) -> f64 {
+        let state = self.state.lock();
+        let is_cut_off = |member: &&Member| {
+            member.silent_since.is_some_and(|since| now < since + GONE_AFTER) && !member.is_leaving
+        };
+        let cut_off = state.others.values().filter(is_cut_off).count();
+        let reached = 1 + state.others.values().filter(|member| member.is_alive()).count();
+        reached as f64 / (reached + cut_off) as f64
+    }
+
     /// Returns the owner of a pool.
     pub(crate) fn owner(&self, pool: &str) -> Owner {
         self.owners.load().get(pool).map_or(Owner::Local, |member| Owner::Remote(member.clone()))
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub(crate) limited_targets: Gauge<u64>,
     pub(crate) target_limits: Gauge<f64>,
     pub(crate) limit_age: Gauge<f64>,
+    pub(crate) limit_asks: Counter<u64>,
+    pub(crate) limit_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -63,6 +65,14 @@
                 .with_unit("s")
                 .with_description("Time since the reply that named the oldest known limit, by pool")
                 .build(),
+            limit_asks: counter(
+                "marigold_limit_asks",
+                "Asks for requests to targets with limits, by pool and outcome",
+            ),
+            limit_refusals: counter(
+                "marigold_limit_refusals",
+                "Requests refused because of the limits of targets, by pool",
+            ),
             exporter,
         })
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,12 +9,14 @@
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::{
-    ConfigText, GatewayFacts, Reply, Request, RunStage, StageDone, StageRelease,
+    ConfigText, GatewayFacts, LimitAsk, LimitGrant, Reply, Request, RunStage, StageDone,
+    StageRelease,
 };
 use tokio::time;
 
 use crate::batcher;
 use crate::dialect::Dialect;
+use crate::limits;
 use crate::members::{Member, Owner};
 use crate::shared::Shared;
 
@@ -93,11 +95,23 @@
     }
 }
 
+/// Asks the owner of a target's limit whether requests may be sent to the target.
+pub(crate) async fn ask_limit(owner: &Member, ask: LimitAsk) -> Result<LimitGrant, String> {
+    match exchange(owner, &Request::AskLimit(ask), limits::ASK_TIMEOUT).await? {
+        Reply::LimitGrant(grant) => Ok(grant),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
 /// Polls the state of the relevant peers, until the process ends.
 pub(crate) async fn poll_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     loop {
-        shared.members.settle(boottime::now());
-        for member in shared.members.to_poll() {
+        let now = boottime::now();
+        shared.members.settle(now);
+        shared
+            .limits
+            .remove_unused(now, |id, started_at_ms| shared.targets.has_start(id, started_at_ms));
+        for member in shared.members.to_poll(&shared.limits.in_use(now)) {
             tokio::spawn(poll(shared.clone(), member));
         }
         time::sleep(POLL_INTERVAL).await;
@@ -242,6 +256,9 @@
                 };
                 replies.send(&reply).await?;
             }
+            Request::AskLimit(ask) => {
+                replies.send(&Reply::LimitGrant(limits::answer(shared, ask))).await?;
+            }
             Request::ReadConfig(newer_than) => {
                 let adopted = shared.adopted.load_full();
                 let reply = match adopted.filter(|adopted| adopted.revision > newer_than) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -295,6 +295,7 @@
 async fn execute<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
+    attempts.check_limits()?;
     attempts.admit()?;
     loop {
         let results = attempts.run_stages(attempts.arrived).await?;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod adoption;
 mod copy_on_write;
 pub mod licence;
+pub mod limits;
 mod search;
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -748,6 +748,162 @@
     pub epoch: u64,
     pub shard: u16,
 }
+///Asks the owner of a target's limit for requests that may be sent to the target.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Asks the owner of a target's limit for requests that may be sent to the target.",
+///  "type": "object",
+///  "required": [
+///    "asker",
+///    "notice",
+///    "pool",
+///    "priority",
+///    "started_at_ms",
+///    "target",
+///    "wanted"
+///  ],
+///  "properties": {
+///    "asker": {
+///      "description": "Name of the gateway.",
+///      "type": "string"
+///    },
+///    "customer": {
+///      "type": "string"
+///    },
+///    "notice": {
+///      "$ref": "#/definitions/LimitNotice"
+///    },
+///    "pool": {
+///      "type": "string"
+///    },
+///    "priority": {
+///      "description": "Priority of the request; zero is served first.",
+///      "type": "integer",
+///      "format": "uint8"
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the target, in milliseconds since the Unix epoch.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "target": {
+///      "type": "string"
+///    },
+///    "wanted": {
+///      "description": "Number of requests; zero only reports the notice.",
+///      "type": "integer",
+///      "format": "uint32"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitAsk {
+    ///Name of the gateway.
+    pub asker: ::std::string::String,
+    #[serde(default)]
+    pub customer: ::std::option::Option<::std::string::String>,
+    pub notice: LimitNotice,
+    pub pool: ::std::string::String,
+    ///Priority of the request; zero is served first.
+    pub priority: u8,
+    ///Start of the target, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    pub target: ::std::string::String,
+    ///Number of requests; zero only reports the notice.
+    pub wanted: u32,
+}
+///Answer to an ask for requests to a target with a limit.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Answer to an ask for requests to a target with a limit.",
+///  "type": "object",
+///  "required": [
+///    "granted",
+///    "notice",
+///    "own_share",
+///    "wait_ms"
+///  ],
+///  "properties": {
+///    "granted": {
+///      "description": "Number of requests that may be sent at once.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "notice": {
+///      "$ref": "#/definitions/LimitNotice"
+///    },
+///    "own_share": {
+///      "description": "Whether none was granted only because the customer has used its share.",
+///      "type": "boolean"
+///    },
+///    "wait_ms": {
+///      "description": "Time after which the gateway may ask again if none was granted.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitGrant {
+    ///Number of requests that may be sent at once.
+    pub granted: u32,
+    pub notice: LimitNotice,
+    ///Whether none was granted only because the customer has used its share.
+    pub own_share: bool,
+    ///Time after which the gateway may ask again if none was granted.
+    pub wait_ms: u64,
+}
+///What a reply of a target said about its limit, with the ages of the ends of the period in which the reply was made.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What a reply of a target said about its limit, with the ages of the ends of the period in which the reply was made.",
+///  "type": "object",
+///  "required": [
+///    "received_age_ms",
+///    "sent_age_ms"
+///  ],
+///  "properties": {
+///    "per_s": {
+///      "description": "Requests a second that the target takes from all gateways; absent if the reply named no limit.",
+///      "type": "number"
+///    },
+///    "received_age_ms": {
+///      "description": "Time since the reply arrived, in milliseconds, rounded down.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "sent_age_ms": {
+///      "description": "Time since the request was sent, in milliseconds, rounded up.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitNotice {
+    ///Requests a second that the target takes from all gateways; absent if the reply named no limit.
+    #[serde(default)]
+    pub per_s: ::std::option::Option<f64>,
+    ///Time since the reply arrived, in milliseconds, rounded down.
+    pub received_age_ms: u64,
+    ///Time since the request was sent, in milliseconds, rounded up.
+    pub sent_age_ms: u64,
+}
 ///The attempt did not run and will not run.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1297,6 +1453,18 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "limit_grant"
+///      ],
+///      "properties": {
+///        "limit_grant": {
+///          "$ref": "#/definitions/LimitGrant"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1328,6 +1496,8 @@
     Refused(::std::string::String),
     #[serde(rename = "store_service")]
     StoreService(StoreService),
+    #[serde(rename = "limit_grant")]
+    LimitGrant(LimitGrant),
 }
 impl ::std::convert::From<Report> for Reply {
     fn from(value: Report) -> Self {
@@ -1374,6 +1544,11 @@
         Self::StoreService(value)
     }
 }
+impl ::std::convert::From<LimitGrant> for Reply {
+    fn from(value: LimitGrant) -> Self {
+        Self::LimitGrant(value)
+    }
+}
 ///Reply of an agent to a heartbeat.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1644,6 +1819,18 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "ask_limit"
+///      ],
+///      "properties": {
+///        "ask_limit": {
+///          "$ref": "#/definitions/LimitAsk"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1681,6 +1868,8 @@
     ReadConfig(u64),
     #[serde(rename = "read_store_service")]
     ReadStoreService,
+    #[serde(rename = "ask_limit")]
+    AskLimit(LimitAsk),
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
@@ -1752,6 +1941,11 @@
         Self::ReadConfig(value)
     }
 }
+impl ::std::convert::From<LimitAsk> for Request {
+    fn from(value: LimitAsk) -> Self {
+        Self::AskLimit(value)
+    }
+}
 ///Asks the owner of a pool, the gateway that batches the calls to it, to run one stage of a request. The stage consists of pieces: units of work that a call carries together with others.
 ///
 /// <details><summary>JSON schema</summary>
