Gateway: log and measure the software versions of targets

The logs could not tell whether a gateway itself had continued a stream at another version or a caller had taken it up, and no line had the version of a target. Each continuation is one line now, with the caller's attempt that the stream resumes, the target and its version; a failed stream has the version, and a metric counts the targets by version.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -4,6 +4,8 @@
 
 /// Name of an entry, a target, a pool, a pipeline or a customer.
 pub type Name = String;
+/// Version of a target's software; versions have no order.
+pub type SoftwareVersion = String;
 /// Identifies one run of a process: the wall-clock time of its start in milliseconds.
 pub type Incarnation = u64;
 /// Attempt number, unique within the sender's incarnation.
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::{Name, Uptime};
+use crate::ids::{Name, SoftwareVersion, Uptime};
 
 /// A target that runs requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub addr: SocketAddr,
     /// Data centre of the target.
     pub data_centre: Name,
+    /// Version of its software; what two versions write of one stream does not fit together.
+    pub version: SoftwareVersion,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is about to leave and accepts no new requests.
@@ -103,6 +105,11 @@
         self.listed.values().filter(|listed| listed.is_missing).count()
     }
 
+    /// Returns all targets, also those that are leaving or missing.
+    pub fn all(&self) -> impl Iterator<Item = &Target> {
+        self.listed.values().map(|listed| &listed.target)
+    }
+
     /// Returns the targets that accept requests.
     pub fn usable(&self) -> impl Iterator<Item = &Target> {
         self.listed.values().map(|listed| &listed.target).filter(|target| !target.is_leaving)
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -12,6 +12,7 @@
         pool: "engines".to_owned(),
         addr: "10.0.0.1:8000".parse().unwrap(),
         data_centre: "north".to_owned(),
+        version: "v1".to_owned(),
         slots: 1,
         is_leaving: false,
         started_at_ms: 1,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -51,6 +51,11 @@
         &self.tracked.target.id
     }
 
+    /// Returns the version of the target's software.
+    pub(crate) fn software_version(&self) -> &str {
+        &self.tracked.target.version
+    }
+
     /// Returns the time at which the request was sent.
     pub(crate) fn sent_at(&self) -> Uptime {
         self.sent_at
@@ -280,6 +285,16 @@
                     continue;
                 }
             };
+            if let Some(last_event) = resume_after {
+                tracing::info!(
+                    request = self.request(),
+                    resumes = self.head.resumes,
+                    last_event,
+                    target = tracked.target.id,
+                    software = tracked.target.version,
+                    "stream continued at target"
+                );
+            }
             let req = self.build_request(&tracked, &results, resume_after);
             let load_at_send = tracked.load.snapshot(now).total;
             tracked.load.on_send();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -27,6 +27,8 @@
     pub api_key: Option<String>,
     /// Id of the last event of a stream that the caller received.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that this attempt takes up.
+    pub resumes: Option<String>,
     /// Ids of the parts of the prompt, in order; the last part belongs to this request or session only.
     pub prompt_parts: Vec<String>,
     /// Number of pieces of each stage, in the order of the stages.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     pub(crate) store_failures: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
+    pub(crate) target_versions: Gauge<u64>,
     pub(crate) limited_targets: Gauge<u64>,
     pub(crate) target_limits: Gauge<f64>,
     pub(crate) limit_age: Gauge<f64>,
@@ -52,6 +53,12 @@
                 .u64_gauge("marigold_config_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            target_versions: meter
+                .u64_gauge("marigold_target_versions")
+                .with_description(
+                    "Targets that accept requests, by pool and version of their software",
+                )
+                .build(),
             limited_targets: meter
                 .u64_gauge("marigold_limited_targets")
                 .with_description("Targets that name a limit, by pool")
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -148,6 +148,7 @@
                 tracing::warn!(
                     request = attempts.request(),
                     target = stream.target(),
+                    software = stream.sent.software_version(),
                     reason,
                     last_event,
                     "stream failed"
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use marigold_core::freshness::{Confidence, Freshness};
-use marigold_core::ids::{Name, Uptime};
+use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::retry::{WindowBudget, WindowLimit};
 use marigold_core::routes::Routing;
 use marigold_core::store_service::{self, StoreService};
@@ -65,6 +65,8 @@
     pub(crate) is_store_reachable: AtomicBool,
     is_reading_config: AtomicBool,
     budgets: Mutex<HashMap<Name, WindowBudget>>,
+    /// Versions of targets that the metrics have, with the last counts.
+    reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
     in_flight: AtomicUsize,
     dialect: PhantomData<D>,
 }
@@ -98,6 +100,7 @@
             is_store_reachable: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
             budgets: Mutex::default(),
+            reported_versions: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             dialect: PhantomData,
         }
@@ -271,6 +274,16 @@
             let age = now.saturating_sub(*at).as_secs_f64();
             self.metrics.store_answer_age.record(age, &[KeyValue::new("kind", *kind)]);
         }
+        // Versions that no target has any more are reported as zero.
+        let mut versions = self.reported_versions.lock();
+        versions.values_mut().for_each(|count| *count = 0);
+        versions.extend(self.targets.count_by_version());
+        for ((pool, version), count) in versions.iter() {
+            let labels =
+                [KeyValue::new("pool", pool.clone()), KeyValue::new("version", version.clone())];
+            self.metrics.target_versions.record(*count, &labels);
+        }
+        versions.retain(|_, count| *count > 0);
         for (pool, limits) in self.limits.summary(now) {
             let labels = [KeyValue::new("pool", pool)];
             self.metrics.limited_targets.record(limits.targets, &labels);
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use marigold_core::ids::{Name, Uptime};
+use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::router::{Candidate, Load};
 use marigold_core::targets::{Target, TargetList};
 use marigold_core::{placement, targets};
@@ -57,6 +57,16 @@
         all.any(|target| target.id == id && target.started_at_ms == started_at_ms)
     }
 
+    /// Returns the number of targets that accept requests, by pool and version of their software.
+    pub(crate) fn count_by_version(&self) -> BTreeMap<(Name, SoftwareVersion), u64> {
+        let mut counts = BTreeMap::new();
+        for tracked in self.pools.load().values().flatten() {
+            let Target { pool, version, .. } = &tracked.target;
+            *counts.entry((pool.clone(), version.clone())).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns the number of targets that accept requests.
     pub(crate) fn len(&self) -> usize {
         self.pools.load().values().map(Vec::len).sum()
