--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -1,5 +1,6 @@
 //! A test cluster of gateways as separate processes; replicas and the store run in the test process.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -21,6 +22,9 @@
 /// API key of the only customer.
 pub const API_KEY: &str = "key-1";
 
+/// Software version of the replicas.
+const DEFAULT_VERSION: &str = "v1";
+
 /// A gateway process.
 pub struct Gateway {
     /// Process of the gateway.
@@ -52,6 +56,8 @@
     /// Whether the folder is kept on drop.
     pub keeps_logs: bool,
     version: u64,
+    /// Software versions of the replicas of the pool `app`.
+    replica_versions: Vec<String>,
     store_addr: SocketAddr,
     _server: Server,
 }
@@ -89,6 +95,7 @@
             folder,
             keeps_logs: false,
             version: 0,
+            replica_versions: vec![DEFAULT_VERSION.to_owned(); replicas],
             store_addr: addr,
             _server: server,
         };
@@ -103,7 +110,7 @@
                 .put(
                     "servers",
                     &stage_replica.options.id,
-                    &server_spec("stage", stage_replica.addr(), "ready"),
+                    &server_spec("stage", stage_replica.addr(), DEFAULT_VERSION, "ready"),
                 )
                 .await;
             cluster.stage_replicas.push(stage_replica);
@@ -164,10 +171,26 @@
 
     /// Publishes a replica of the pool `app` with a state.
     pub async fn set_replica_state(&self, number: usize, state: &str) {
-        let spec = server_spec("app", self.replica_relays[number].addr(), state);
+        let version = &self.replica_versions[number];
+        let spec = server_spec("app", self.replica_relays[number].addr(), version, state);
         self.put("servers", &self.replicas[number].options.id, &spec).await;
     }
 
+    /// Publishes another software version of a replica of the pool `app`, as after a start with the same id.
+    pub async fn set_replica_version(&mut self, number: usize, version: &str) {
+        self.replica_versions[number] = version.to_owned();
+        self.set_replica_state(number, "ready").await;
+    }
+
+    /// Returns the software versions of the replicas of the pool `app` that ran one of `requests`, each once.
+    pub fn versions_of_runs(&self, requests: &[&str]) -> BTreeSet<&str> {
+        let ran = |replica: &Replica| {
+            replica.runs().iter().any(|run| requests.contains(&run.request.as_str()))
+        };
+        let versions = self.replicas.iter().zip(&self.replica_versions);
+        versions.filter(|(replica, _)| ran(replica)).map(|(_, version)| version.as_str()).collect()
+    }
+
     /// Removes the entry of a replica of the pool `app`.
     pub async fn remove_replica(&self, number: usize) {
         let removed = self.platform.store.delete("servers", &self.replicas[number].options.id);
@@ -282,9 +305,9 @@
     Replica::spawn(process::free_listener(), options)
 }
 
-fn server_spec(pool: &str, addr: SocketAddr, state: &str) -> Value {
+fn server_spec(pool: &str, addr: SocketAddr, version: &str, state: &str) -> Value {
     json!({
-        "service": pool, "address": addr, "zone": "north", "version": "v1", "slots": 8, "state": state,
+        "service": pool, "address": addr, "zone": "north", "version": version, "slots": 8, "state": state,
         "coldRemainingMs": 0, "sequence": 1, "born": 1,
     })
 }
@@ -307,6 +330,18 @@
     path: &str,
     request: &str,
     headers: &[(&str, &str)],
+) -> Response {
+    send_until(client, addr, path, request, headers, usize::MAX).await
+}
+
+/// As [`send_with`], but closes the connection after `max_events` events.
+pub async fn send_until(
+    client: &reqwest::Client,
+    addr: SocketAddr,
+    path: &str,
+    request: &str,
+    headers: &[(&str, &str)],
+    max_events: usize,
 ) -> Response {
     let mut req = client
         .post(format!("http://{addr}{path}"))
@@ -328,7 +363,7 @@
         signature: header("replica-seal"),
         ..Response::default()
     };
-    loop {
+    while response.body.matches("\n\n").count() < max_events {
         match raw.chunk().await {
             Ok(Some(chunk)) => response.body.push_str(&String::from_utf8_lossy(&chunk)),
             Ok(None) => {
@@ -338,4 +373,5 @@
             Err(_) => return response,
         }
     }
+    response
 }
