Gateway: continue streams only at the software version that began them

Callers got streams whose first events one software version had written and the rest another: a gateway continued a broken stream at any target of the pool, and one at which a caller took a stream up did not know where it had begun.

The first event fixes the origin of a stream, and it goes on at that version only. While a pool has had several versions the origin is recorded at two other gateways before the first event is passed on, so that it is found after the first gateway has died or restarted. Without a record a stream goes on only on a proof that the pool had one version: a current list of targets, known without a gap. Otherwise it is refused at once, as not run, with a text that says to start anew. A version begins streams only when all gateways with a current list know it, and no stream goes on while the list is old.

Ruled out as the cause: a target that starts again under its id with another version (the entries did not change in the tests that fail); it is guarded against, since the origin has the start of the target.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -188,6 +188,8 @@
             | Request::Facts(_)
             | Request::ReadConfig(_)
             | Request::ReadStoreService
+            | Request::RecordOrigin(_)
+            | Request::ReadOrigin(_)
             | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an agent does not serve this".to_owned())).await?
             }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -69,6 +69,8 @@
             | Request::Facts(_)
             | Request::ReadConfig(_)
             | Request::ReadStoreService
+            | Request::RecordOrigin(_)
+            | Request::ReadOrigin(_)
             | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an entry does not serve this".to_owned())).await
             }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -7,9 +7,11 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use marigold_core::ids::{Name, Uptime};
+use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::router::Candidate;
 use marigold_core::routes::{Customer, Repeat, Route};
+use marigold_core::stream_origin::{self, Origin, Record};
+use marigold_core::targets::Target;
 use marigold_core::{admission, placement, target_limit};
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -18,6 +20,7 @@
 
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits::{self, Demand};
+use crate::origins::{self, Found, TakenUp};
 use crate::relay::EventStream;
 use crate::response::Failure;
 use crate::shared::{AdoptedConfig, Shared};
@@ -51,9 +54,9 @@
         &self.tracked.target.id
     }
 
-    /// Returns the version of the target's software.
-    pub(crate) fn software_version(&self) -> &str {
-        &self.tracked.target.version
+    /// Returns the start of the target.
+    pub(crate) fn target_start(&self) -> &Target {
+        &self.tracked.target
     }
 
     /// Returns the time at which the request was sent.
@@ -87,6 +90,14 @@
     pub(crate) response: Response<Incoming>,
 }
 
+/// Where the stream of a request began.
+#[derive(Clone, Debug)]
+pub(crate) struct Begun {
+    version: SoftwareVersion,
+    /// The target that began it, unless only the version is known.
+    origin: Option<Origin>,
+}
+
 /// A caller's request and the state of its attempts.
 pub(crate) struct Attempts<D: Dialect, S: Store> {
     pub(crate) shared: Arc<Shared<D, S>>,
@@ -104,6 +115,8 @@
     pub(crate) deadline: Uptime,
     /// Number of attempts in which the request ran or may have run.
     pub(crate) runs: u32,
+    /// Where the stream began, once its first event is known; it goes on at this software version only.
+    pub(crate) begun: Option<Begun>,
     /// Targets to which the request is not sent again.
     pub(crate) tried: HashSet<Name>,
 }
@@ -212,9 +225,98 @@
         self.can_retry() && self.withdraw_retry(reason)
     }
 
+    fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| customer.name.as_str())
+    }
+
+    /// Returns whether the request takes up a stream.
+    fn is_taken_up(&self) -> bool {
+        self.route.repeat == Repeat::Resumable
+            && (self.head.last_event.is_some() || self.head.resumes.is_some())
+    }
+
+    /// Finds out at which software version the stream began that the caller takes up.
+    ///
+    /// # Errors
+    /// A refusal when that is not known, or when the stream cannot go on there.
+    pub(crate) async fn find_origin(&mut self) -> Result<(), Failure> {
+        if !self.is_taken_up() {
+            return Ok(());
+        }
+        let pools = &self.route.pools;
+        let stream = TakenUp {
+            customer: self.customer_name(),
+            resumes: self.head.resumes.as_deref(),
+            pool: (pools.len() == 1).then(|| pools[0].0.as_str()),
+            window: origins::window(self.route.timeout),
+        };
+        let begun = match origins::find(&self.shared, stream).await {
+            Found::Origin(origin) => {
+                if !pools.iter().any(|(pool, _)| *pool == origin.pool) {
+                    return Err(self.version_failure("pool_changed"));
+                }
+                self.pool.clone_from(&origin.pool);
+                Begun { version: origin.version.clone(), origin: Some(origin) }
+            }
+            Found::Version(version) => Begun { version, origin: None },
+            Found::Unknown => return Err(self.version_failure("unknown")),
+        };
+        self.begun = Some(begun);
+        self.check_version().map_err(|reason| self.version_failure(reason))
+    }
+
+    /// Records where the stream of this request begins, before the caller gets its first event.
+    pub(crate) async fn record_origin(&mut self, target: &Target) {
+        if self.route.repeat != Repeat::Resumable || self.begun.is_some() {
+            return;
+        }
+        let origin = Origin::from(target);
+        self.begun = Some(Begun { version: origin.version.clone(), origin: Some(origin.clone()) });
+        let record = Record {
+            key: stream_origin::key(self.customer_name(), self.request()),
+            customer: self.customer_name().map(str::to_owned),
+            origin,
+            expires: self.arrived + self.head.timeout.unwrap_or_default().max(self.route.timeout),
+        };
+        origins::record(&self.shared, record, origins::window(self.route.timeout)).await;
+    }
+
+    /// Checks that the stream can go on at the version that began it; the error is the reason why not.
+    fn check_version(&self) -> Result<(), &'static str> {
+        let Some(begun) = &self.begun else { return Ok(()) };
+        if !self.shared.has_current_targets(boottime::now()) {
+            // A target may have started again under its id with another version.
+            return Err("list_old");
+        }
+        if begun.origin.as_ref().is_some_and(|origin| self.shared.targets.is_doubted(origin)) {
+            return Err("restarted");
+        }
+        let targets = self.shared.targets.in_pool(&self.pool);
+        let is_candidate = |tracked: &Arc<TrackedTarget>| {
+            tracked.target.version == begun.version && !self.tried.contains(&tracked.target.id)
+        };
+        if targets.iter().any(is_candidate) { Ok(()) } else { Err("no_target") }
+    }
+
+    /// Logs why the stream cannot go on, and returns the failure that tells the caller.
+    fn version_failure(&self, reason: &'static str) -> Failure {
+        tracing::info!(
+            request = self.request(),
+            first_attempt = self.head.resumes,
+            software = self.begun.as_ref().map(|begun| begun.version.as_str()),
+            reason,
+            "stream cannot go on"
+        );
+        let labels = [KeyValue::new("reason", reason)];
+        self.shared.metrics.streams_not_continued.add(1, &labels);
+        self.refused(
+            "the stream cannot go on at the software version that began it; \
+             start a new stream, without the id of an event",
+        )
+    }
+
     fn demand(&self) -> Demand<'_> {
-        let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
-        Demand { priority: self.priority(), customer }
+        Demand { priority: self.priority(), customer: self.customer_name() }
     }
 
     /// Chooses among the targets that have not been tried and are not in `held`.
@@ -222,9 +324,16 @@
         let targets = self.shared.targets.in_pool(&self.pool);
         let is_candidate = |tracked: &Arc<TrackedTarget>| {
             let id = &tracked.target.id;
-            !self.tried.contains(id) && !held.contains(id)
+            let is_version =
+                self.begun.as_ref().is_none_or(|begun| begun.version == tracked.target.version);
+            is_version && !self.tried.contains(id) && !held.contains(id)
         };
-        let untried: Vec<Arc<TrackedTarget>> = targets.into_iter().filter(is_candidate).collect();
+        let mut untried: Vec<Arc<TrackedTarget>> =
+            targets.into_iter().filter(is_candidate).collect();
+        let is_beginning = self.route.repeat == Repeat::Resumable && self.begun.is_none();
+        if is_beginning && untried.iter().any(|tracked| tracked.has_known_version(now)) {
+            untried.retain(|tracked| tracked.has_known_version(now));
+        }
         let settings = self.shared.settings();
         let candidates: Vec<Candidate> =
             untried.iter().map(|tracked| tracked.candidate(&settings.data_centre, now)).collect();
@@ -288,7 +397,7 @@
             if let Some(last_event) = resume_after {
                 tracing::info!(
                     request = self.request(),
-                    resumes = self.head.resumes,
+                    first_attempt = self.head.resumes,
                     last_event,
                     target = tracked.target.id,
                     software = tracked.target.version,
@@ -390,6 +499,9 @@
                 "the request may have run at a target that failed",
             );
         }
+        if self.begun.is_some() {
+            return self.version_failure("no_target");
+        }
         self.refused("no target took the request")
     }
 
@@ -424,6 +536,10 @@
     /// Resumes a stream at another target; returns `None` when that is not allowed or fails.
     pub(crate) async fn resume(&mut self, last_event: Option<u64>) -> Option<EventStream> {
         let last_event = last_event.or(self.head.last_event);
+        if let Err(reason) = self.check_version() {
+            self.version_failure(reason);
+            return None;
+        }
         if !self.start_retry("stream_broken") {
             return None;
         }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -13,6 +13,7 @@
 
 use crate::batcher;
 use crate::dialect::Dialect;
+use crate::origins;
 use crate::shared::Shared;
 
 /// Kind of the objects in which gateways register their addresses.
@@ -192,6 +193,10 @@
                 }
             }
         });
+        let mixed_pools = shared.targets.take_newly_mixed();
+        if !mixed_pools.is_empty() {
+            tokio::spawn(origins::send_own(shared.clone(), mixed_pools));
+        }
         let missing = shared.targets.missing_count();
         tracing::info!(
             changed = changes.objects.len(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod members;
 mod metrics;
+mod origins;
 mod peers;
 mod ports;
 mod relay;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::ownership::{self, Candidate};
+use marigold_core::rendezvous;
 use marigold_core::targets::Target;
 use marigold_link::peer::Peer;
 use marigold_link::security::Security;
@@ -273,6 +274,14 @@
         ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
     }
 
+    /// Returns the `count` other gateways that rank first for a key, only those that are alive if `is_alive` is set.
+    pub(crate) fn ranked(&self, key: &str, count: usize, is_alive: bool) -> Vec<Member> {
+        let state = self.state.lock();
+        let others = state.others.values().filter(|member| !is_alive || member.is_alive());
+        let ranked = rendezvous::rank(key, others.map(|member| &member.name));
+        ranked.into_iter().take(count).map(|name| state.others[name].clone()).collect()
+    }
+
     /// Returns the owner of a target's limit: the owner of its pool where stages run, since that gateway sends the calls,
     /// and a gateway chosen by the target's id otherwise.
     pub(crate) fn limit_owner(&self, target: &Target) -> Owner {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
     pub(crate) target_versions: Gauge<u64>,
+    pub(crate) stream_origins: Gauge<u64>,
+    pub(crate) streams_not_continued: Counter<u64>,
     pub(crate) limited_targets: Gauge<u64>,
     pub(crate) target_limits: Gauge<f64>,
     pub(crate) limit_age: Gauge<f64>,
@@ -53,6 +55,14 @@
                 .u64_gauge("marigold_config_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            stream_origins: meter
+                .u64_gauge("marigold_stream_origins")
+                .with_description("Records of where streams began")
+                .build(),
+            streams_not_continued: counter(
+                "marigold_streams_not_continued",
+                "Streams that could not go on because of their software version, by reason",
+            ),
             target_versions: meter
                 .u64_gauge("marigold_target_versions")
                 .with_description(
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,233 @@
+//! Which software version began each stream, so that it goes on at no other one.
+//!
+//! While a pool has had several versions, the gateway that begins a stream sends a record of its origin to other gateways
+//! before the caller gets the first event. A gateway at which a caller takes the stream up finds the record there, also
+//! when the first gateway is gone. Without a record the stream goes on only if the pool provably had one version. For that
+//! proof a version begins streams only after all gateways with a current list of targets know it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use marigold_core::ids::{KeyDigest, SoftwareVersion, Uptime};
+use marigold_core::stream_origin::{self, Origin, OriginTable, Record};
+use marigold_objects::Store;
+use marigold_process::boottime;
+use marigold_schema::messages::{OriginAnswer, OriginQuery, StreamOrigin};
+use parking_lot::Mutex;
+
+use crate::dialect::Dialect;
+use crate::members::Member;
+use crate::peers;
+use crate::shared::Shared;
+
+/// Number of other gateways that keep a record.
+const KEEPERS: usize = 2;
+/// Number of other gateways that are asked for a record. More than keep it, since memberships may differ.
+const ASKED: usize = 4;
+/// Time for which the first event waits until another gateway has the record. A fraction of the delay from which an event
+/// counts as late.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
+/// Timeout of a question for a record.
+pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after a caller's deadline for which a record is kept.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
+/// Number of timeouts of its route that a stream may last in all.
+const MAX_TAKE_UPS: u32 = 3;
+/// Records of the origins of streams that this gateway began or keeps for others.
+#[derive(Default)]
+pub(crate) struct Origins {
+    table: Mutex<OriginTable>,
+}
+
+impl Origins {
+    /// Removes the records that have expired.
+    pub(crate) fn remove_expired(&self, now: Uptime) {
+        self.table.lock().remove_expired(now);
+    }
+
+    /// Returns the number of records.
+    pub(crate) fn len(&self) -> usize {
+        self.table.lock().len()
+    }
+}
+
+/// Returns the time within which a stream that is taken up now can have begun, on a route with a timeout. A caller may
+/// take a stream up several times, for a request that it waits for longer than the route does.
+pub(crate) fn window(timeout: Duration) -> Duration {
+    MAX_TAKE_UPS * timeout + RECORD_MARGIN
+}
+
+/// Returns the software version of a pool if it provably had no other within `window`.
+fn only_version<D: Dialect, S>(
+    shared: &Shared<D, S>,
+    pool: &str,
+    window: Duration,
+) -> Option<SoftwareVersion> {
+    let now = boottime::now();
+    let version = shared.targets.only_version(pool, now, window);
+    version.filter(|_| shared.has_current_targets(now))
+}
+
+/// Records that a stream begins with its first event; returns after another gateway has the record, if one is needed.
+pub(crate) async fn record<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
+    record: Record,
+    window: Duration,
+) {
+    let is_only = only_version(shared, &record.origin.pool, window).is_some();
+    let now = boottime::now();
+    let record = Record { expires: record.expires + RECORD_MARGIN, ..record };
+    if !shared.origins.table.lock().insert(record.clone(), true, now) {
+        tracing::warn!(customer = record.customer, "too many streams; origin not recorded");
+    }
+    if !is_only && !send(shared, &record).await {
+        tracing::info!(
+            pool = record.origin.pool,
+            software = record.origin.version,
+            "no other gateway has recorded the origin of a stream"
+        );
+    }
+}
+
+/// Sends a record to the gateways that keep it; returns whether one has answered in time.
+async fn send<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, record: &Record) -> bool {
+    let keepers = shared.members.ranked(&key_text(record.key), KEEPERS, true);
+    let message = to_message(record, boottime::now());
+    let mut sent: FuturesUnordered<_> = keepers
+        .into_iter()
+        .map(|member| {
+            let message = message.clone();
+            // Runs on after the first answer, so that both keep the record.
+            tokio::spawn(async move { peers::record_origin(&member, message).await })
+        })
+        .collect();
+    let first = async {
+        while let Some(result) = sent.next().await {
+            match result {
+                Ok(Ok(())) => return true,
+                Ok(Err(err)) => tracing::debug!(err, "origin of a stream not recorded"),
+                Err(err) => tracing::error!(%err, "recording the origin of a stream failed"),
+            }
+        }
+        false
+    };
+    tokio::time::timeout(RECORD_TIMEOUT, first).await.unwrap_or(false)
+}
+
+/// Sends the records of the streams that this gateway began in pools that have just got a second version.
+pub(crate) async fn send_own<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, pools: Vec<String>) {
+    for pool in pools {
+        let records = shared.origins.table.lock().own_in_pool(&pool, boottime::now());
+        tracing::info!(pool, streams = records.len(), "pool has several software versions");
+        for record in records {
+            send(&shared, &record).await;
+        }
+    }
+}
+
+/// Stream that a caller takes up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TakenUp<'a> {
+    pub(crate) customer: Option<&'a str>,
+    /// The caller's attempt that brought the first event; unknown if the caller does not name it.
+    pub(crate) resumes: Option<&'a str>,
+    /// The only pool in which the stream can have begun, if there is one.
+    pub(crate) pool: Option<&'a str>,
+    pub(crate) window: Duration,
+}
+
+/// Where a stream began, as far as is known.
+pub(crate) enum Found {
+    /// The record of its origin.
+    Origin(Origin),
+    /// The only version that its pool had.
+    Version(SoftwareVersion),
+    Unknown,
+}
+
+/// Finds out where a stream began: from the own records, from those of others, or because its pool had one version only.
+pub(crate) async fn find<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
+    stream: TakenUp<'_>,
+) -> Found {
+    let own_version = || stream.pool.and_then(|pool| only_version(shared, pool, stream.window));
+    let Some(resumes) = stream.resumes else {
+        return own_version().map_or(Found::Unknown, Found::Version);
+    };
+    let key = stream_origin::key(stream.customer, resumes);
+    let own = shared.origins.table.lock().get(key, boottime::now()).cloned();
+    if let Some(record) = own {
+        return Found::Origin(record.origin);
+    }
+    let query = OriginQuery {
+        key: key_text(key),
+        pool: stream.pool.map(str::to_owned),
+        window_ms: stream.window.as_millis() as u64,
+    };
+    let asked = shared.members.ranked(&query.key, ASKED, false);
+    let mut answers: FuturesUnordered<_> = asked.iter().map(|member| ask(member, &query)).collect();
+    let mut version_of_others = None;
+    while let Some(answer) = answers.next().await {
+        let Some(answer) = answer else { continue };
+        if let Some(origin) = answer.origin {
+            return Found::Origin(Origin::from(origin));
+        }
+        version_of_others = version_of_others.or(answer.only_version);
+    }
+    own_version().or(version_of_others).map_or(Found::Unknown, Found::Version)
+}
+
+async fn ask(member: &Member, query: &OriginQuery) -> Option<OriginAnswer> {
+    match peers::read_origin(member, query.clone()).await {
+        Ok(answer) => Some(answer),
+        Err(err) => {
+            tracing::debug!(member = member.name, err, "origin of a stream not read");
+            None
+        }
+    }
+}
+
+/// Keeps a record for another gateway.
+pub(crate) fn keep<D, S>(shared: &Shared<D, S>, message: StreamOrigin) -> bool {
+    let now = boottime::now();
+    let Some(key) = parse_key(&message.key) else { return false };
+    let expires = now + Duration::from_millis(message.left_ms);
+    let record =
+        Record { key, customer: message.customer.clone(), origin: message.into(), expires };
+    shared.origins.table.lock().insert(record, false, now)
+}
+
+/// Answers the question of another gateway where a stream began.
+pub(crate) fn answer<D: Dialect, S>(shared: &Shared<D, S>, query: &OriginQuery) -> OriginAnswer {
+    let now = boottime::now();
+    let window = Duration::from_millis(query.window_ms);
+    let record =
+        parse_key(&query.key).and_then(|key| shared.origins.table.lock().get(key, now).cloned());
+    OriginAnswer {
+        origin: record.map(|record| to_message(&record, now)),
+        only_version: query.pool.as_ref().and_then(|pool| only_version(shared, pool, window)),
+    }
+}
+
+fn key_text(key: KeyDigest) -> String {
+    format!("{key:032x}")
+}
+
+fn parse_key(text: &str) -> Option<KeyDigest> {
+    KeyDigest::from_str_radix(text, 16).ok()
+}
+
+fn to_message(record: &Record, now: Uptime) -> StreamOrigin {
+    let Record { key, customer, origin, expires } = record.clone();
+    StreamOrigin {
+        key: key_text(key),
+        customer,
+        pool: origin.pool,
+        version: origin.version,
+        target: origin.target,
+        started_at_ms: origin.started_at_ms,
+        left_ms: expires.saturating_sub(now).as_millis() as u64,
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use marigold_link::server::{Handler, ReplySink};
 use marigold_objects::Store;
 use marigold_process::boottime;
+use marigold_schema::messages;
 use marigold_schema::messages::{
     ConfigText, GatewayFacts, LimitAsk, LimitGrant, Reply, Request, RunStage, StageDone,
     StageRelease,
@@ -18,6 +19,7 @@
 use crate::dialect::Dialect;
 use crate::limits;
 use crate::members::{Member, Owner};
+use crate::origins;
 use crate::shared::Shared;
 
 /// Interval at which peers are polled.
@@ -103,11 +105,34 @@
     }
 }
 
+/// Sends the record of a stream's origin to a gateway that is to keep it.
+pub(crate) async fn record_origin(
+    keeper: &Member,
+    origin: messages::StreamOrigin,
+) -> Result<(), String> {
+    match exchange(keeper, &Request::RecordOrigin(origin), origins::QUERY_TIMEOUT).await? {
+        Reply::Accepted(true) => Ok(()),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
+/// Asks a gateway where a stream began.
+pub(crate) async fn read_origin(
+    member: &Member,
+    query: messages::OriginQuery,
+) -> Result<messages::OriginAnswer, String> {
+    match exchange(member, &Request::ReadOrigin(query), origins::QUERY_TIMEOUT).await? {
+        Reply::Origin(answer) => Ok(answer),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
 /// Polls the state of the relevant peers, until the process ends.
 pub(crate) async fn poll_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     loop {
         let now = boottime::now();
         shared.members.settle(now);
+        shared.origins.remove_expired(now);
         shared
             .limits
             .remove_unused(now, |id, started_at_ms| shared.targets.has_start(id, started_at_ms));
@@ -259,6 +284,12 @@
             Request::AskLimit(ask) => {
                 replies.send(&Reply::LimitGrant(limits::answer(shared, ask))).await?;
             }
+            Request::RecordOrigin(origin) => {
+                replies.send(&Reply::Accepted(origins::keep(shared, origin))).await?;
+            }
+            Request::ReadOrigin(query) => {
+                replies.send(&Reply::Origin(origins::answer(shared, &query))).await?;
+            }
             Request::ReadConfig(newer_than) => {
                 let adopted = shared.adopted.load_full();
                 let reply = match adopted.filter(|adopted| adopted.revision > newer_than) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use marigold_core::events::Splitter;
 use marigold_core::ids::Uptime;
+use marigold_core::targets::Target;
 use marigold_objects::Store;
 use marigold_process::boottime;
 use tokio::sync::mpsc;
@@ -62,6 +63,11 @@
         self.sent.target()
     }
 
+    /// Returns the start of the target.
+    pub(crate) fn target_start(&self) -> &Target {
+        self.sent.target_start()
+    }
+
     /// Returns the time at which the request was sent to the target.
     pub(crate) fn sent_at(&self) -> Uptime {
         self.sent.sent_at()
@@ -148,7 +154,7 @@
                 tracing::warn!(
                     request = attempts.request(),
                     target = stream.target(),
-                    software = stream.sent.software_version(),
+                    software = stream.target_start().version,
                     reason,
                     last_event,
                     "stream failed"
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -171,6 +171,7 @@
         arrived: guard.arrived,
         deadline,
         runs: 0,
+        begun: None,
         tried: HashSet::new(),
     })
 }
@@ -295,6 +296,7 @@
 async fn execute<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
+    attempts.find_origin().await?;
     attempts.check_limits()?;
     attempts.admit()?;
     loop {
@@ -322,6 +324,9 @@
             if is_stream { start_stream(attempts, reply).await } else { read_full(reply).await };
         match response {
             Ok(response) => {
+                if let TargetResponse::Stream { first_events: Some(_), stream, .. } = &response {
+                    attempts.record_origin(stream.target_start()).await;
+                }
                 let is_failed = matches!(
                     &response,
                     TargetResponse::Full { status, .. } if status.is_server_error()
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,8 +25,9 @@
 use crate::limits::Limits;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::origins::Origins;
 use crate::stage_runner::ReleaseQueue;
-use crate::targets::TargetTable;
+use crate::targets::{self, TargetTable};
 
 /// The configuration in force.
 pub(crate) struct AdoptedConfig {
@@ -47,6 +48,7 @@
     pub(crate) targets: TargetTable,
     pub(crate) limits: Limits,
     pub(crate) members: Members,
+    pub(crate) origins: Origins,
     pub(crate) batcher: Batcher,
     pub(crate) release_queue: ReleaseQueue,
     pub(crate) durations: LearnedDurations,
@@ -87,6 +89,7 @@
             targets: TargetTable::default(),
             limits: Limits::default(),
             members,
+            origins: Origins::default(),
             batcher: Batcher::default(),
             release_queue: ReleaseQueue::default(),
             durations: LearnedDurations::default(),
@@ -166,11 +169,20 @@
     /// Records an answer of the store to a watch on objects of a kind; returns the age of the answer before.
     pub(crate) fn record_store_answer(&self, kind: &'static str, now: Uptime) -> Option<Duration> {
         let before = self.store_answers.lock().insert(kind, now);
+        if kind == D::TARGET_KIND && before.is_some_and(|at| now > at + targets::MAX_LIST_AGE) {
+            self.targets.on_gap(now);
+        }
         self.store_service.lock().record_answer(now, self.min_outage());
         self.store_answered.notify_waiters();
         before.map(|at| now.saturating_sub(at))
     }
 
+    /// Returns whether the list of targets was read recently enough to tell the software versions of targets.
+    pub(crate) fn has_current_targets(&self, now: Uptime) -> bool {
+        let read_at = self.store_answers.lock().get(D::TARGET_KIND).copied();
+        read_at.is_some_and(|read_at| now.saturating_sub(read_at) <= targets::MAX_LIST_AGE)
+    }
+
     /// Returns the period in which the store has answered, as far as this gateway knows.
     pub(crate) fn store_service(&self) -> Option<messages::StoreService> {
         let now = boottime::now();
@@ -274,6 +286,7 @@
             let age = now.saturating_sub(*at).as_secs_f64();
             self.metrics.store_answer_age.record(age, &[KeyValue::new("kind", *kind)]);
         }
+        self.metrics.stream_origins.record(self.origins.len() as u64, &[]);
         // Versions that no target has any more are reported as zero.
         let mut versions = self.reported_versions.lock();
         versions.values_mut().for_each(|count| *count = 0);
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -3,21 +3,31 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::router::{Candidate, Load};
+use marigold_core::stream_origin::{Origin, VersionHistory};
 use marigold_core::targets::{Target, TargetList};
 use marigold_core::{placement, targets};
+use marigold_process::boottime;
 use parking_lot::Mutex;
 
 /// A target and the estimate of its load.
 pub(crate) struct TrackedTarget {
     pub(crate) target: Target,
     pub(crate) load: Load,
+    /// Since when targets of the pool with this software version are listed.
+    version_since: Uptime,
 }
 
 impl TrackedTarget {
+    /// Returns whether the software version has been listed for so long that all gateways with a current list know it.
+    pub(crate) fn has_known_version(&self, now: Uptime) -> bool {
+        self.version_since + MAX_LIST_AGE <= now
+    }
+
     /// Returns the candidate for the choice among targets, as seen from `own_data_centre`.
     pub(crate) fn candidate(&self, own_data_centre: &str, now: Uptime) -> Candidate {
         Candidate {
@@ -29,12 +39,19 @@
     }
 }
 
+/// Age of the list of targets up to which it counts as current. The watch is answered at least each 1.5 s, and given up
+/// after 2 s more.
+pub(crate) const MAX_LIST_AGE: Duration = Duration::from_secs(5);
+
 type Pools = HashMap<Name, Vec<Arc<TrackedTarget>>>;
 
 /// All targets that accept requests.
 #[derive(Default)]
 pub(crate) struct TargetTable {
     list: Mutex<TargetList>,
+    versions: Mutex<VersionHistory>,
+    /// Pools that have got a second software version since they were last taken.
+    newly_mixed: Mutex<Vec<Name>>,
     pools: ArcSwap<Pools>,
 }
 
@@ -50,6 +67,31 @@
         pools.values().flatten().find(|tracked| tracked.target.addr == addr).cloned()
     }
 
+    /// Returns the software version of a pool if it has had no other in the last `window`.
+    pub(crate) fn only_version(
+        &self,
+        pool: &str,
+        now: Uptime,
+        window: Duration,
+    ) -> Option<SoftwareVersion> {
+        self.versions.lock().only_version(pool, now, window).cloned()
+    }
+
+    /// Records that changes of the list may have been missed before now.
+    pub(crate) fn on_gap(&self, now: Uptime) {
+        self.versions.lock().on_gap(now);
+    }
+
+    /// Takes the pools that have got a second software version since the last call.
+    pub(crate) fn take_newly_mixed(&self) -> Vec<Name> {
+        std::mem::take(&mut *self.newly_mixed.lock())
+    }
+
+    /// Returns whether it is uncertain which start of a target began a stream.
+    pub(crate) fn is_doubted(&self, origin: &Origin) -> bool {
+        self.list.lock().all().any(|target| origin.is_doubted_by(target))
+    }
+
     /// Returns whether a target with this id and start accepts requests.
     pub(crate) fn has_start(&self, id: &str, started_at_ms: u64) -> bool {
         let pools = self.pools.load();
@@ -81,6 +123,9 @@
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut targets::TargetList) -> T) -> T {
         let mut list = self.list.lock();
         let result = change(&mut list);
+        let mut versions = self.versions.lock();
+        let newly_mixed = versions.update(list.all(), boottime::now());
+        self.newly_mixed.lock().extend(newly_mixed);
         let old = self.pools.load();
         let by_id: BTreeMap<&str, &Arc<TrackedTarget>> =
             old.values().flatten().map(|tracked| (tracked.target.id.as_str(), tracked)).collect();
@@ -88,7 +133,12 @@
         for target in list.usable() {
             let kept = by_id.get(target.id.as_str()).filter(|tracked| tracked.target == *target);
             let tracked = kept.map(|tracked| Arc::clone(tracked)).unwrap_or_else(|| {
-                Arc::new(TrackedTarget { target: target.clone(), load: Load::default() })
+                let version_since = versions.listed_since(&target.pool, &target.version);
+                Arc::new(TrackedTarget {
+                    target: target.clone(),
+                    load: Load::default(),
+                    version_since: version_since.unwrap_or_default(),
+                })
             });
             pools.entry(target.pool.clone()).or_default().push(tracked);
         }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,4 +5,5 @@
 mod copy_on_write;
 pub mod licence;
 pub mod limits;
+pub mod origins;
 mod search;
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -1040,6 +1040,82 @@
         value.parse()
     }
 }
+///What a gateway knows of the beginning of a stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What a gateway knows of the beginning of a stream.",
+///  "type": "object",
+///  "properties": {
+///    "only_version": {
+///      "description": "Version of the pool, if it has had no other within the window.",
+///      "type": "string"
+///    },
+///    "origin": {
+///      "$ref": "#/definitions/StreamOrigin"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OriginAnswer {
+    ///Version of the pool, if it has had no other within the window.
+    #[serde(default)]
+    pub only_version: ::std::option::Option<::std::string::String>,
+    #[serde(default)]
+    pub origin: ::std::option::Option<StreamOrigin>,
+}
+impl ::std::default::Default for OriginAnswer {
+    fn default() -> Self {
+        Self {
+            only_version: Default::default(),
+            origin: Default::default(),
+        }
+    }
+}
+///Asks where a stream began.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Asks where a stream began.",
+///  "type": "object",
+///  "required": [
+///    "key",
+///    "window_ms"
+///  ],
+///  "properties": {
+///    "key": {
+///      "description": "Digest of the customer and of the attempt that brought the first event, in hexadecimal.",
+///      "type": "string"
+///    },
+///    "pool": {
+///      "description": "Pool of the stream, if it can have begun in one only.",
+///      "type": "string"
+///    },
+///    "window_ms": {
+///      "description": "Time within which the stream began, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OriginQuery {
+    ///Digest of the customer and of the attempt that brought the first event, in hexadecimal.
+    pub key: ::std::string::String,
+    ///Pool of the stream, if it can have begun in one only.
+    #[serde(default)]
+    pub pool: ::std::option::Option<::std::string::String>,
+    ///Time within which the stream began, in milliseconds.
+    pub window_ms: u64,
+}
 ///Reason why a piece has no result.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1465,6 +1541,18 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "origin"
+///      ],
+///      "properties": {
+///        "origin": {
+///          "$ref": "#/definitions/OriginAnswer"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1498,6 +1586,8 @@
     StoreService(StoreService),
     #[serde(rename = "limit_grant")]
     LimitGrant(LimitGrant),
+    #[serde(rename = "origin")]
+    Origin(OriginAnswer),
 }
 impl ::std::convert::From<Report> for Reply {
     fn from(value: Report) -> Self {
@@ -1549,6 +1639,11 @@
         Self::LimitGrant(value)
     }
 }
+impl ::std::convert::From<OriginAnswer> for Reply {
+    fn from(value: OriginAnswer) -> Self {
+        Self::Origin(value)
+    }
+}
 ///Reply of an agent to a heartbeat.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1831,6 +1926,30 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "record_origin"
+///      ],
+///      "properties": {
+///        "record_origin": {
+///          "$ref": "#/definitions/StreamOrigin"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "read_origin"
+///      ],
+///      "properties": {
+///        "read_origin": {
+///          "$ref": "#/definitions/OriginQuery"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1870,6 +1989,10 @@
     ReadStoreService,
     #[serde(rename = "ask_limit")]
     AskLimit(LimitAsk),
+    #[serde(rename = "record_origin")]
+    RecordOrigin(StreamOrigin),
+    #[serde(rename = "read_origin")]
+    ReadOrigin(OriginQuery),
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
@@ -1946,6 +2069,16 @@
         Self::AskLimit(value)
     }
 }
+impl ::std::convert::From<StreamOrigin> for Request {
+    fn from(value: StreamOrigin) -> Self {
+        Self::RecordOrigin(value)
+    }
+}
+impl ::std::convert::From<OriginQuery> for Request {
+    fn from(value: OriginQuery) -> Self {
+        Self::ReadOrigin(value)
+    }
+}
 ///Asks the owner of a pool, the gateway that batches the calls to it, to run one stage of a request. The stage consists of pieces: units of work that a call carries together with others.
 ///
 /// <details><summary>JSON schema</summary>
@@ -2287,6 +2420,69 @@
     ///Time since the latest answer, in milliseconds.
     pub until_age_ms: u64,
 }
+///Record of the target that wrote the first event of a stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of the target that wrote the first event of a stream.",
+///  "type": "object",
+///  "required": [
+///    "key",
+///    "left_ms",
+///    "pool",
+///    "started_at_ms",
+///    "target",
+///    "version"
+///  ],
+///  "properties": {
+///    "customer": {
+///      "type": "string"
+///    },
+///    "key": {
+///      "description": "Digest of the customer and of the attempt that brought the first event, in hexadecimal.",
+///      "type": "string"
+///    },
+///    "left_ms": {
+///      "description": "Time for which the record is needed, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "pool": {
+///      "type": "string"
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the target, in milliseconds since the Unix epoch.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "target": {
+///      "type": "string"
+///    },
+///    "version": {
+///      "description": "Version of the target's software.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StreamOrigin {
+    #[serde(default)]
+    pub customer: ::std::option::Option<::std::string::String>,
+    ///Digest of the customer and of the attempt that brought the first event, in hexadecimal.
+    pub key: ::std::string::String,
+    ///Time for which the record is needed, in milliseconds.
+    pub left_ms: u64,
+    pub pool: ::std::string::String,
+    ///Start of the target, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    pub target: ::std::string::String,
+    ///Version of the target's software.
+    pub version: ::std::string::String,
+}
 ///Keys of a shard that an entry has sent, or that were replicated to it.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -52,6 +52,8 @@
 /// A request that the replica ran.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// When its head had arrived.
+    pub at: Instant,
     /// ID of the attempt.
     pub request: String,
     /// Headers, with lower-case names.
@@ -221,7 +223,7 @@
     async fn serve(mut self) -> std::io::Result<()> {
         while let Some(run) = self.read_request().await? {
             self.state.arrivals.lock().push(Arrival {
-                at: Instant::now(),
+                at: run.at,
                 request: run.request.clone(),
                 request_line: run.request_line.clone(),
             });
@@ -271,7 +273,7 @@
             }
         }
         let request = headers.get("attempt-id").cloned().unwrap_or_default();
-        Ok(Some(Run { request, headers, request_line, body }))
+        Ok(Some(Run { at: Instant::now(), request, headers, request_line, body }))
     }
 
     async fn respond(
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -57,7 +57,9 @@
     pub keeps_logs: bool,
     version: u64,
     /// Software versions of the replicas of the pool `app`.
-    replica_versions: Vec<String>,
+    pub replica_versions: Vec<String>,
+    /// Starts of the replicas of the pool `app`, as numbers.
+    replica_starts: Vec<u64>,
     store_addr: SocketAddr,
     _server: Server,
 }
@@ -96,6 +98,7 @@
             keeps_logs: false,
             version: 0,
             replica_versions: vec![DEFAULT_VERSION.to_owned(); replicas],
+            replica_starts: vec![1; replicas],
             store_addr: addr,
             _server: server,
         };
@@ -172,13 +175,15 @@
     /// Publishes a replica of the pool `app` with a state.
     pub async fn set_replica_state(&self, number: usize, state: &str) {
         let version = &self.replica_versions[number];
-        let spec = server_spec("app", self.replica_relays[number].addr(), version, state);
+        let mut spec = server_spec("app", self.replica_relays[number].addr(), version, state);
+        spec["born"] = json!(self.replica_starts[number]);
         self.put("servers", &self.replicas[number].options.id, &spec).await;
     }
 
-    /// Publishes another software version of a replica of the pool `app`, as after a start with the same id.
+    /// Publishes another start of a replica of the pool `app` under its id, with a software version.
     pub async fn set_replica_version(&mut self, number: usize, version: &str) {
         self.replica_versions[number] = version.to_owned();
+        self.replica_starts[number] += 1;
         self.set_replica_state(number, "ready").await;
     }
 
