--- a/crates/agent/src/licences.rs
+++ b/crates/agent/src/licences.rs
@@ -115,7 +115,8 @@
 }
 
 async fn read_records(shared: &Shared, slice: &PoolSlice) -> Result<Records, Error> {
-    let changes = shared.store.watch(&kind(&slice.pool), 0, Duration::ZERO).await?;
+    let changes =
+        shared.store.watch(&kind(&slice.pool), Version::default(), Duration::ZERO).await?;
     let parse = |object: Object| {
         let record = serde_json::from_str(&object.value?).ok()?;
         Some((object.name.parse().ok()?, (object.version, record)))
--- a/crates/entry/src/api/operators.rs
+++ b/crates/entry/src/api/operators.rs
@@ -9,7 +9,7 @@
 use marigold_core::cost::Line;
 use marigold_core::head::{Items, PRESET_ITEM};
 use marigold_core::ids::Revision;
-use marigold_objects::Store as _;
+use marigold_objects::{Store as _, Version};
 use marigold_schema::messages::{Pull, Reply, Request};
 use rocket::data::Data;
 use rocket::serde::json::Json;
@@ -253,8 +253,11 @@
         Problem::refused(503, "Burn cannot be read", err.to_string())
     };
     billing::flush_burn(shared).await.map_err(unavailable)?;
-    let changes =
-        shared.store.watch(billing::BURN_KIND, 0, Duration::ZERO).await.map_err(unavailable)?;
+    let changes = shared
+        .store
+        .watch(billing::BURN_KIND, Version::default(), Duration::ZERO)
+        .await
+        .map_err(unavailable)?;
     let reports =
         changes.objects.into_iter().filter_map(|object| serde_json::from_str(&object.value?).ok());
     Ok(Json(burn::merge(reports)))
--- a/crates/entry/src/billing.rs
+++ b/crates/entry/src/billing.rs
@@ -5,7 +5,7 @@
 
 use marigold_core::cost::{Account, Accounts, Line, Total, Worth};
 use marigold_core::view::PoolView;
-use marigold_objects::{Error, Expect, Store};
+use marigold_objects::{Error, Expect, Store, Version};
 use opentelemetry::KeyValue;
 
 use crate::state::Shared;
@@ -110,7 +110,7 @@
 /// # Errors
 /// When the store cannot be read. Objects that are no cost lines do not fail the call.
 pub async fn read_all<S: Store>(store: &S) -> Result<StoredCosts, Error> {
-    let changes = store.watch(COST_KIND, 0, Duration::ZERO).await?;
+    let changes = store.watch(COST_KIND, Version::default(), Duration::ZERO).await?;
     let mut costs = StoredCosts::default();
     for object in changes.objects {
         let text = object.value.as_deref().unwrap_or("[]");
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -125,7 +125,7 @@
 async fn read_head(shared: &Shared) -> Result<(Version, Head), Error> {
     match shared.store.get(HEAD_KIND, HEAD_NAME).await? {
         Some(object) => parse_head(&object),
-        None => Ok((0, Head::default())),
+        None => Ok((Version::default(), Head::default())),
     }
 }
 
@@ -271,7 +271,7 @@
     if !is_watcher(&shared) {
         return;
     }
-    let mut after: Version = 0;
+    let mut after = Version::default();
     let mut wait = BACKOFF.0;
     loop {
         let poll = async {
@@ -288,7 +288,7 @@
                 wait = BACKOFF.0;
                 shared.record_confirmation();
             }
-            Err(Error::HistoryExpired { .. }) => after = 0,
+            Err(Error::HistoryExpired { .. }) => after = Version::default(),
             Err(err) => {
                 tracing::debug!(%err, "watching the configuration failed");
                 tokio::time::sleep(jitter(wait)).await;
@@ -325,7 +325,7 @@
         }))
         .await?;
         let text = serde_json::to_string(&proposal.head).expect("a head serialises");
-        let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
+        let expect = if version.is_none() { Expect::Absent } else { Expect::Version(version) };
         match put_verified(&shared.store, HEAD_KIND, HEAD_NAME, text, expect).await {
             Ok(_) => {
                 shared.record_confirmation();
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -12,7 +12,7 @@
 use marigold_link::peer::Peer;
 use marigold_link::security::Security;
 use marigold_link::server::Server;
-use marigold_objects::{Object, Store as _, VM_KIND, Vm, VmState};
+use marigold_objects::{Object, Store as _, VM_KIND, Version, Vm, VmState};
 use marigold_platform::store::PlatformStore;
 use marigold_process::http;
 use marigold_process::uptime::{Uptime, wall_clock_ms};
@@ -169,13 +169,14 @@
 async fn poll_vms_forever(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(VM_POLL_INTERVAL).await;
-        let vms: Vec<Vm> = match shared.store.watch(VM_KIND, 0, Duration::ZERO).await {
-            Ok(changes) => changes.objects.iter().filter_map(parse_vm).collect(),
-            Err(err) => {
-                tracing::debug!(%err, "reading the list of VMs failed");
-                continue;
-            }
-        };
+        let vms: Vec<Vm> =
+            match shared.store.watch(VM_KIND, Version::default(), Duration::ZERO).await {
+                Ok(changes) => changes.objects.iter().filter_map(parse_vm).collect(),
+                Err(err) => {
+                    tracing::debug!(%err, "reading the list of VMs failed");
+                    continue;
+                }
+            };
         let leaving: BTreeSet<&str> = vms
             .iter()
             .filter(|vm| vm.state == VmState::Leaving)
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -70,7 +70,7 @@
     shared: Arc<Shared<D, S>>,
     handler: F,
 ) {
-    let mut after: Version = 0;
+    let mut after = Version::default();
     let mut failures = 0_u32;
     let mut is_delayed = false;
     // Whether the history has expired since the last changes were read.
@@ -88,7 +88,7 @@
                     tracing::info!(kind = F::KIND, failures, answer_age_ms, "store recovered");
                 }
                 failures = 0;
-                let is_whole = after == 0;
+                let is_whole = after.is_none();
                 has_expired &= is_whole;
                 is_delayed = !is_whole;
                 after = changes.version;
@@ -96,8 +96,8 @@
             }
             Err(Error::HistoryExpired { .. }) => {
                 shared.record_store_answer(F::KIND, boottime::now());
-                tracing::info!(kind = F::KIND, after, "store history expired; reading all objects");
-                after = 0;
+                tracing::info!(kind = F::KIND, %after, "store history expired; reading all objects");
+                after = Version::default();
                 is_delayed = false;
                 // Spaces the calls while the store forgets its history again and again.
                 if std::mem::replace(&mut has_expired, true) {
@@ -110,7 +110,7 @@
                 is_delayed = false;
                 let took = boottime::now().saturating_sub(sent);
                 let took_ms = took.as_millis() as u64;
-                tracing::warn!(kind = F::KIND, after, failures, took_ms, %err, "call to the store failed");
+                tracing::warn!(kind = F::KIND, %after, failures, took_ms, %err, "call to the store failed");
                 handler.on_store_failure(&shared);
                 let backoff = (BASE_BACKOFF * failures).min(MAX_BACKOFF);
                 let backoff = backoff.mul_f64(1.0 + rand::random::<f64>());
@@ -147,10 +147,10 @@
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
             match &object.value {
                 Some(text) => {
-                    shared.adopt(object.version, text, "store");
+                    shared.adopt(object.version.revision, text, "store");
                 }
                 None => tracing::error!(
-                    version = object.version,
+                    version = %object.version,
                     "configuration removed from the store; keeping the one in force"
                 ),
             }
@@ -203,7 +203,7 @@
             is_whole,
             usable = shared.targets.len(),
             missing,
-            version = changes.version,
+            version = %changes.version,
             "targets changed"
         );
         shared.has_targets.send_replace(true);
@@ -300,7 +300,7 @@
     };
     loop {
         match shared.store.put(MEMBER_KIND, &settings.name, text.clone(), Expect::Any).await {
-            Ok(version) => return tracing::info!(version, "registered with the store"),
+            Ok(version) => return tracing::info!(%version, "registered with the store"),
             Err(err) => tracing::warn!(%err, "failed to register with the store; retrying"),
         }
         time::sleep(REGISTER_RETRY_DELAY.mul_f64(1.0 + rand::random::<f64>())).await;
--- a/crates/objects/src/error.rs
+++ b/crates/objects/src/error.rs
@@ -28,8 +28,8 @@
         /// Error that the service or the connection reported.
         reason: String,
     },
-    /// The service has discarded the changes since the version at which a watch starts; all objects of the kind have
-    /// to be read again.
+    /// The service has discarded the changes since the version at which a watch starts, or was restored from an older copy
+    /// since; all objects of the kind have to be read again.
     #[error("watching {kind}: the history since version {after} was discarded")]
     HistoryExpired {
         /// Kind of the objects.
--- a/crates/objects/src/memory.rs
+++ b/crates/objects/src/memory.rs
@@ -10,7 +10,7 @@
 use crate::object::{Changes, Expect, MAX_VALUE_BYTES, Object, Version};
 use crate::store::Store;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Inner {
     version: Version,
     objects: BTreeMap<(String, String), Object>,
@@ -18,6 +18,10 @@
     history_since: Version,
 }
 
+/// Copy of all objects, from which a store can be restored.
+#[derive(Clone)]
+pub struct Backup(Inner);
+
 /// Object service that keeps all objects in memory.
 pub struct MemoryStore {
     inner: Mutex<Inner>,
@@ -26,7 +30,7 @@
 
 impl Default for MemoryStore {
     fn default() -> Self {
-        Self { inner: Mutex::default(), changed: watch::channel(0).0 }
+        Self { inner: Mutex::default(), changed: watch::channel(Version::default()).0 }
     }
 }
 
@@ -37,10 +41,35 @@
         inner.history_since = inner.version;
     }
 
+    /// Returns a copy of all objects.
+    pub fn backup(&self) -> Backup {
+        Backup(self.inner.lock().clone())
+    }
+
+    /// Replaces all objects with those of a copy and raises the era; revisions after that of the copy are given out again.
+    pub fn restore(&self, backup: Backup) {
+        let mut inner = self.inner.lock();
+        let era = inner.version.era + 1;
+        *inner = backup.0;
+        inner.version.era = era;
+        for object in inner.objects.values_mut() {
+            object.version.era = era;
+        }
+        inner.history_since.era = era;
+        let version = inner.version;
+        drop(inner);
+        self.changed.send_replace(version);
+    }
+
+    /// Returns the current version of the store.
+    pub fn version(&self) -> Version {
+        self.inner.lock().version
+    }
+
     fn changes(&self, kind: &str, after: Version) -> Changes {
         let inner = self.inner.lock();
         let of_kind = inner.objects.iter().filter(|((k, _), object)| {
-            k == kind && object.version > after && (after > 0 || object.value.is_some())
+            k == kind && object.version > after && (!after.is_none() || object.value.is_some())
         });
         Changes {
             version: inner.version,
@@ -58,10 +87,10 @@
         let mut inner = self.inner.lock();
         let key = (kind.to_owned(), name.to_owned());
         let existing = inner.objects.get(&key).filter(|object| object.value.is_some());
-        let found = existing.map_or(0, |object| object.version);
+        let found = existing.map_or(Version::default(), |object| object.version);
         let is_met = match expect {
             Expect::Any => true,
-            Expect::Absent => found == 0,
+            Expect::Absent => found.is_none(),
             Expect::Version(version) => found == version,
         };
         if !is_met {
@@ -71,7 +100,7 @@
                 found,
             });
         }
-        inner.version += 1;
+        inner.version.revision += 1;
         let version = inner.version;
         inner.objects.insert(key, Object { name: name.to_owned(), version, value });
         drop(inner);
@@ -105,7 +134,10 @@
     }
 
     async fn watch(&self, kind: &str, after: Version, wait: Duration) -> Result<Changes> {
-        if after > 0 && after < self.inner.lock().history_since {
+        let has_history = |inner: &Inner| {
+            after.era == inner.version.era && (inner.history_since..=inner.version).contains(&after)
+        };
+        if !after.is_none() && !has_history(&self.inner.lock()) {
             return Err(Error::HistoryExpired { kind: kind.to_owned(), after });
         }
         let mut changed = self.changed.subscribe();
@@ -113,7 +145,7 @@
         loop {
             changed.borrow_and_update();
             let changes = self.changes(kind, after);
-            if after == 0 || !changes.objects.is_empty() {
+            if after.is_none() || !changes.objects.is_empty() {
                 return Ok(changes);
             }
             let notified = tokio::time::timeout_at(deadline, changed.changed()).await;
--- a/crates/objects/src/object.rs
+++ b/crates/objects/src/object.rs
@@ -1,9 +1,35 @@
 //! Objects, versions and VMs.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
-/// Version of an object; each write to the store increments one counter for all objects, and zero means no object.
-pub type Version = u64;
+/// Version of an object, or of the whole store.
+///
+/// Each write increments the revision, one counter for all objects. A store that was restored from an older copy goes back
+/// in its revisions and gives them out again, so versions are ordered by the era first. The default means no object.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version {
+    /// Number of times that the store was restored from an older copy.
+    pub era: u64,
+    /// Number of writes.
+    pub revision: u64,
+}
+
+impl Version {
+    /// Returns whether this is the version of an object that does not exist.
+    pub fn is_none(self) -> bool {
+        self == Self::default()
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
 
 /// Maximum size of an object's value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,6 +8,7 @@
 use marigold_objects::{Error, Expect, Object, Store, VM_KIND, Version, Vm};
 use marigold_process::http::Server;
 use parking_lot::Mutex;
+use rocket::fairing::AdHoc;
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{State, delete, get, post, put, routes};
@@ -185,8 +186,8 @@
     json!({
         "metadata": {
             "name": object.name,
-            "revision": object.version,
-            "createRevision": object.version,
+            "revision": object.version.revision,
+            "createRevision": object.version.revision,
             "finalizers": [],
             "deleting": false,
         },
@@ -198,7 +199,7 @@
 #[derive(Deserialize)]
 struct Metadata {
     name: Option<String>,
-    revision: Option<Version>,
+    revision: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -260,7 +261,10 @@
 ) -> Response {
     let ObjectBody { metadata, spec } = object.into_inner();
     let expect = match platform.store.get(kind, name).await {
-        Ok(Some(found)) => Expect::Version(metadata.revision.unwrap_or(found.version)),
+        Ok(Some(found)) => {
+            let revision = metadata.revision.unwrap_or(found.version.revision);
+            Expect::Version(Version { revision, ..found.version })
+        }
         _ => return empty_response(Status::NotFound),
     };
     put_object(platform, kind, name, spec, expect).await
@@ -293,7 +297,7 @@
     platform: &State<Arc<Platform>>,
     kind: &str,
     after: Option<&str>,
-    watch: Option<Version>,
+    watch: Option<u64>,
     waitMs: Option<u64>,
 ) -> Response {
     if let Err(refused) = platform.admit(false).await {
@@ -303,7 +307,10 @@
     if watch.is_some() {
         platform.counts.lock().watches += 1;
     }
-    let changes = match platform.store.watch(kind, watch.unwrap_or(0), wait).await {
+    // A revision has the era of the store: that of an older era cannot be told apart.
+    let era = platform.store.version().era;
+    let watched = watch.map_or(Version::default(), |revision| Version { era, revision });
+    let changes = match platform.store.watch(kind, watched, wait).await {
         Ok(changes) => changes,
         Err(Error::HistoryExpired { .. }) => return empty_response(Status::Gone),
         Err(_) => return empty_response(Status::InternalServerError),
@@ -314,7 +321,7 @@
     let body = if watch.is_some() {
         let event = |object: &Object| json!({ "removed": object.value.is_none(), "object": object_json(object) });
         let events: Vec<Value> = changes.objects.iter().map(event).collect();
-        json!({ "events": events, "storeRevision": changes.version })
+        json!({ "events": events, "storeRevision": changes.version.revision })
     } else {
         let remaining = changes
             .objects
@@ -323,7 +330,7 @@
         let mut items: Vec<Value> = remaining.take(PAGE_SIZE + 1).map(object_json).collect();
         let has_more = items.len() > PAGE_SIZE;
         items.truncate(PAGE_SIZE);
-        json!({ "items": items, "hasMore": has_more, "storeRevision": changes.version })
+        json!({ "items": items, "hasMore": has_more, "storeRevision": changes.version.revision })
     };
     (Status::Ok, Json(body))
 }
@@ -358,7 +365,14 @@
         started: Instant::now(),
         vm_lag: Duration::from_millis(options.vm_lag_ms),
     });
-    let rocket = rocket::custom(server::config(addr)).manage(platform.clone()).mount(
+    let (manages, answers) = (platform.clone(), platform.clone());
+    let era = AdHoc::on_response("era of the store", move |_, response| {
+        let era = answers.store.version().era;
+        Box::pin(async move {
+            response.set_raw_header("Store-Era", era.to_string());
+        })
+    });
+    let rocket = rocket::custom(server::config(addr)).manage(manages).attach(era).mount(
         "/",
         routes![read, create, replace, remove, list_or_watch, set_vms, set_faults, counts],
     );
