Gateway: order configurations by the operator's version

After a restore of the store callers got 404 for new routes, and lost keys went on working: a new configuration has a lower revision than the one in force, and was passed over. The operator's own version rises with each configuration, whatever the store does, so it orders them, between gateways as well. A configuration that peers have and a reachable store does not tell for 2.5 s is read from a peer: a gateway that starts after a restore would accept a key that was taken away before it.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -147,7 +147,7 @@
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
             match &object.value {
                 Some(text) => {
-                    shared.adopt(object.version.revision, text, "store");
+                    shared.adopt(text, "store");
                 }
                 None => tracing::error!(
                     version = %object.version,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,9 @@
 /// Number of owners that are tried for a stage, one after the other. If none answers, this gateway is likely to be
 /// partitioned and runs the stage itself.
 const MAX_OWNERS_TRIED: usize = 2;
+/// Time in which a gateway reads a newer configuration from a store that it reaches, including the age from which it does
+/// so itself.
+const STORE_READ_TIME: Duration = Duration::from_millis(2_500);
 /// Timeout of reading a configuration, which may be hundreds of kilobytes on a slow link.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -177,7 +180,7 @@
     if let Err(err) = sync_config(&shared, &member, &facts, sent).await {
         tracing::warn!(
             member = member.name,
-            revision = facts.revision,
+            version = facts.config_version,
             err,
             "failed to read configuration from gateway"
         );
@@ -222,19 +225,25 @@
     facts: &GatewayFacts,
     sent: Duration,
 ) -> Result<(), String> {
-    let own_revision = shared.facts().revision;
-    if facts.revision > own_revision {
-        // The store is preferred, since a configuration is large and the links of peers may be slow.
-        if shared.is_store_reachable.load(Ordering::Relaxed) || !shared.start_config_read() {
+    let own_version = shared.config_version();
+    if facts.config_version > own_version {
+        // The store is preferred, since a configuration is large and the links of peers may be slow. A store that was
+        // restored from an older copy does not have it until the operator has written it again.
+        let since = *shared.newer_config_since.lock().get_or_insert(sent);
+        let is_in_store = shared.is_store_reachable.load(Ordering::Relaxed)
+            && sent.saturating_sub(since) < STORE_READ_TIME;
+        if is_in_store || !shared.start_config_read() {
             return Ok(());
         }
-        let reply = exchange(member, &Request::ReadConfig(own_revision), CONFIG_TIMEOUT).await;
+        let reply = exchange(member, &Request::ReadConfig(own_version), CONFIG_TIMEOUT).await;
         shared.end_config_read();
         let Reply::Config(config) = reply? else { return Err("unexpected reply".to_owned()) };
-        shared.adopt(config.revision, &config.text, "peer");
+        shared.adopt(&config.text, "peer");
     }
     // The peer determined the age after the request was sent, so the proof is not older than computed here.
-    if let Some(age) = facts.proof_age_ms.filter(|_| facts.revision == shared.facts().revision) {
+    if let Some(age) =
+        facts.proof_age_ms.filter(|_| facts.config_version == shared.config_version())
+    {
         let at = sent.saturating_sub(Duration::from_millis(age));
         shared.freshness.lock().record_proof(at);
     }
@@ -292,11 +301,8 @@
             }
             Request::ReadConfig(newer_than) => {
                 let adopted = shared.adopted.load_full();
-                let reply = match adopted.filter(|adopted| adopted.revision > newer_than) {
-                    Some(adopted) => Reply::Config(ConfigText {
-                        revision: adopted.revision,
-                        text: adopted.text.clone(),
-                    }),
+                let reply = match adopted.filter(|adopted| adopted.routing.version > newer_than) {
+                    Some(adopted) => Reply::Config(ConfigText { text: adopted.text.clone() }),
                     None => Reply::Refused("no newer configuration is known".to_owned()),
                 };
                 replies.send(&reply).await?;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -31,8 +31,6 @@
 
 /// The configuration in force.
 pub(crate) struct AdoptedConfig {
-    /// Revision of the object in the store.
-    pub(crate) revision: u64,
     /// Text of the object in the store, for peers that cannot reach the store.
     pub(crate) text: String,
     pub(crate) routing: Routing,
@@ -66,6 +64,8 @@
     /// Whether the store answered the last call for the configuration.
     pub(crate) is_store_reachable: AtomicBool,
     is_reading_config: AtomicBool,
+    /// Since when a peer has had a newer configuration.
+    pub(crate) newer_config_since: Mutex<Option<Uptime>>,
     budgets: Mutex<HashMap<Name, WindowBudget>>,
     /// Versions of targets that the metrics have, with the last counts.
     reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
@@ -102,6 +102,7 @@
             store_answered: Notify::new(),
             is_store_reachable: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
+            newer_config_since: Mutex::default(),
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
             in_flight: AtomicUsize::new(0),
@@ -119,33 +120,36 @@
         self.settings.store(Arc::new(settings));
     }
 
+    /// Returns the version of the configuration in force, zero before the first one.
+    ///
+    /// The operator raises it with each configuration, while the revisions of a store that was restored from an older copy
+    /// go back.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.adopted.load().as_ref().map_or(0, |adopted| adopted.routing.version)
+    }
+
     /// Puts a configuration in force if it is valid and newer than the current one; returns whether it did.
-    pub(crate) fn adopt(&self, revision: u64, text: &str, source: &str) -> bool {
-        let in_force = self.adopted.load().as_ref().map_or(0, |adopted| adopted.revision);
-        if revision <= in_force {
-            return false;
-        }
+    pub(crate) fn adopt(&self, text: &str, source: &str) -> bool {
+        let in_force = self.config_version();
         match D::parse_routing(text) {
+            Ok(routing) if routing.version <= in_force => false,
             Ok(routing) => {
                 tracing::info!(
-                    revision,
                     version = routing.version,
                     in_force,
                     source,
                     "configuration put in force"
                 );
+                *self.newer_config_since.lock() = None;
                 self.metrics.config_version.record(routing.version, &[]);
                 self.durations.retain(&routing);
-                self.adopted.store(Some(Arc::new(AdoptedConfig {
-                    revision,
-                    text: text.to_owned(),
-                    routing,
-                })));
+                self.adopted
+                    .store(Some(Arc::new(AdoptedConfig { text: text.to_owned(), routing })));
                 self.members.set_pools(self.pools_with_stages());
                 true
             }
             Err(err) => {
-                tracing::error!(revision, in_force, source, %err, "invalid configuration; keeping the one in force");
+                tracing::error!(in_force, source, %err, "invalid configuration; keeping the one in force");
                 false
             }
         }
@@ -227,7 +231,7 @@
         GatewayFacts {
             name: self.settings().name.clone(),
             entry: self.entry(),
-            revision: self.adopted.load().as_ref().map_or(0, |adopted| adopted.revision),
+            config_version: self.config_version(),
             proof_age_ms: age.map(|age| age.as_millis() as u64),
             leaving: self.is_stopping(),
         }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -376,14 +376,9 @@
 ///  "description": "Configuration as it is stored.",
 ///  "type": "object",
 ///  "required": [
-///    "revision",
 ///    "text"
 ///  ],
 ///  "properties": {
-///    "revision": {
-///      "type": "integer",
-///      "format": "uint64"
-///    },
 ///    "text": {
 ///      "type": "string"
 ///    }
@@ -393,7 +388,6 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigText {
-    pub revision: u64,
     pub text: ::std::string::String,
 }
 ///All changes after one revision, up to and including another.
@@ -620,12 +614,17 @@
 ///  "description": "State of a gateway: its configuration, and whether it is being stopped.",
 ///  "type": "object",
 ///  "required": [
+///    "config_version",
 ///    "entry",
 ///    "leaving",
-///    "name",
-///    "revision"
+///    "name"
 ///  ],
 ///  "properties": {
+///    "config_version": {
+///      "description": "Version, set by the operator, of the configuration in force; zero before the first configuration.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "entry": {
 ///      "description": "The gateway's registration, for peers that have not read it from the store; `settled` is current.",
 ///      "$ref": "#/definitions/GatewayEntry"
@@ -641,11 +640,6 @@
 ///      "description": "Time since it was last verified that no newer configuration existed, in milliseconds; absent if it was never verified.",
 ///      "type": "integer",
 ///      "format": "uint64"
-///    },
-///    "revision": {
-///      "description": "Revision in the store of the configuration in force; zero before the first configuration.",
-///      "type": "integer",
-///      "format": "uint64"
 ///    }
 ///  }
 ///}
@@ -653,6 +647,8 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct GatewayFacts {
+    ///Version, set by the operator, of the configuration in force; zero before the first configuration.
+    pub config_version: u64,
     ///The gateway's registration, for peers that have not read it from the store; `settled` is current.
     pub entry: GatewayEntry,
     ///Whether the gateway is being stopped.
@@ -661,8 +657,6 @@
     ///Time since it was last verified that no newer configuration existed, in milliseconds; absent if it was never verified.
     #[serde(default)]
     pub proof_age_ms: ::std::option::Option<u64>,
-    ///Revision in the store of the configuration in force; zero before the first configuration.
-    pub revision: u64,
 }
 ///Heartbeat, sent by an entry on each of its links to agents.
 ///
@@ -1895,7 +1889,7 @@
 ///      ],
 ///      "properties": {
 ///        "read_config": {
-///          "description": "Asks for the configuration, if it is newer than this revision of the store.",
+///          "description": "Asks for the configuration, if it is newer than this version, set by the operator.",
 ///          "type": "integer",
 ///          "format": "uint64"
 ///        }
