Gateway: read everything again when the era of the store rises

Requests went on to reach a target that drained after a restore: a watch went on from a revision of the era before. Where the revisions that were given out again had passed it there was no 410, and what lay between was never seen. An era that falls, or is not told any more, is read in the same way, with a warning. The log has a line with both numbers, and a metric has the era.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -80,8 +80,15 @@
         let sent = boottime::now();
         // After a failure the store is asked for its state, which a watch without changes would delay.
         let wait = if failures == 0 { F::WAIT } else { Duration::ZERO };
-        match shared.store.watch(F::KIND, after, wait).await {
+        let mut era = shared.store_era.subscribe();
+        let read = tokio::select! {
+            read = shared.store.watch(F::KIND, after, wait) => read,
+            // Another watch has found that the store was restored; what this one waits for may be in the list already.
+            _ = era.changed() => Err(Error::HistoryExpired { kind: F::KIND.to_owned(), after }),
+        };
+        match read {
             Ok(changes) => {
+                shared.record_store_era(changes.version.era);
                 let answer_age = shared.record_store_answer(F::KIND, boottime::now());
                 if failures > 0 {
                     let answer_age_ms = answer_age.map(|age| age.as_millis() as u64);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     pub(crate) store_failures: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
+    pub(crate) store_era: Gauge<u64>,
     pub(crate) target_versions: Gauge<u64>,
     pub(crate) stream_origins: Gauge<u64>,
     pub(crate) streams_not_continued: Counter<u64>,
@@ -90,6 +91,10 @@
                 "marigold_limit_refusals",
                 "Requests refused because of the limits of targets, by pool",
             ),
+            store_era: meter
+                .u64_gauge("marigold_store_era")
+                .with_description("Number of times that the store was restored from an older copy")
+                .build(),
             exporter,
         })
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -36,6 +36,14 @@
     pub(crate) routing: Routing,
 }
 
+/// How often the store was restored from an older copy.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreEra {
+    pub(crate) era: u64,
+    /// When this gateway learned it; zero before the first answer.
+    pub(crate) since: Uptime,
+}
+
 /// State of one gateway.
 pub(crate) struct Shared<D, S> {
     settings: ArcSwap<GatewaySettings>,
@@ -57,6 +65,8 @@
     /// When the store last answered a watch, by kind of objects.
     pub(crate) store_answers: Mutex<BTreeMap<&'static str, Uptime>>,
     pub(crate) store_service: Mutex<StoreService>,
+    /// Era of the store.
+    pub(crate) store_era: watch::Sender<StoreEra>,
     /// Notified when another gateway has told what it knows of the store's service.
     pub(crate) store_service_merged: Notify,
     /// Notified at each answer of the store to a watch.
@@ -98,6 +108,7 @@
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
             store_service: Mutex::default(),
+            store_era: watch::Sender::default(),
             store_service_merged: Notify::new(),
             store_answered: Notify::new(),
             is_store_reachable: AtomicBool::new(false),
@@ -187,6 +198,25 @@
         read_at.is_some_and(|read_at| now.saturating_sub(read_at) <= targets::MAX_LIST_AGE)
     }
 
+    /// Records the era of the store from an answer. It falls when the store does not tell it any more, or is another one.
+    pub(crate) fn record_store_era(&self, era: u64) {
+        let before = *self.store_era.borrow();
+        if before.era == era {
+            return;
+        }
+        let since = boottime::now();
+        if before.since.is_zero() {
+            tracing::info!(era, "era of the store");
+        } else if era > before.era {
+            tracing::warn!(era, before = before.era, "store was restored from an older copy");
+        } else {
+            tracing::warn!(era, before = before.era, "era of the store fell");
+        }
+        self.metrics.store_era.record(era, &[]);
+        self.targets.on_gap(since);
+        self.store_era.send_replace(StoreEra { era, since });
+    }
+
     /// Returns the period in which the store has answered, as far as this gateway knows.
     pub(crate) fn store_service(&self) -> Option<messages::StoreService> {
         let now = boottime::now();
