Gateway: keep targets that a restored store does not list yet

Callers were refused after a restore: the copy did not have the entries of targets that had started since, and they were dropped at once. They write themselves again within about two seconds, as after an outage, so a restore starts the same grace period, counted from when the gateway learns of it.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -185,7 +185,7 @@
         }
         let now = boottime::now();
         let grace_period = shared.grace_period();
-        let recovered_at = shared.store_service.lock().newest().map(|period| period.since);
+        let recovered_at = shared.store_recovered_at();
         shared.targets.update(|list| {
             if let Some(at) = recovered_at {
                 list.on_store_recovered(at);
@@ -238,14 +238,14 @@
 
 /// Removes the missing targets if, as far as is known now, the grace period after the store's recovery has ended.
 fn update_missing_targets<D: Dialect, S: Store>(shared: &Shared<D, S>) {
-    let Some(period) = shared.store_service.lock().newest() else { return };
+    let Some(recovered_at) = shared.store_recovered_at() else { return };
     let (now, grace_period) = (boottime::now(), shared.grace_period());
     let removed = shared.targets.update(|list| {
-        list.on_store_recovered(period.since);
+        list.on_store_recovered(recovered_at);
         list.remove_expired(now, grace_period)
     });
     if !removed.is_empty() {
-        let store_up_ms = now.saturating_sub(period.since).as_millis() as u64;
+        let store_up_ms = now.saturating_sub(recovered_at).as_millis() as u64;
         tracing::info!(gone = ?removed, store_up_ms, "missing targets removed");
     }
 }
@@ -315,7 +315,8 @@
             Ok(version) => {
                 tracing::info!(%version, "registered with the store");
                 era.mark_unchanged();
-                if version.era == era.borrow().era && era.changed().await.is_err() {
+                let is_current = era.borrow().era.is_none_or(|era| era == version.era);
+                if is_current && era.changed().await.is_err() {
                     return;
                 }
                 // All gateways write at the same time, and the store takes some hundred writes a second.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,9 +39,10 @@
 /// How often the store was restored from an older copy.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct StoreEra {
-    pub(crate) era: u64,
-    /// When this gateway learned it; zero before the first answer.
-    pub(crate) since: Uptime,
+    /// `None` before the first answer.
+    pub(crate) era: Option<u64>,
+    /// When this gateway learned of the last restore.
+    pub(crate) restored_at: Option<Uptime>,
 }
 
 /// State of one gateway.
@@ -201,20 +202,31 @@
     /// Records the era of the store from an answer. It falls when the store does not tell it any more, or is another one.
     pub(crate) fn record_store_era(&self, era: u64) {
         let before = *self.store_era.borrow();
-        if before.era == era {
+        if before.era == Some(era) {
             return;
         }
-        let since = boottime::now();
-        if before.since.is_zero() {
-            tracing::info!(era, "era of the store");
-        } else if era > before.era {
-            tracing::warn!(era, before = before.era, "store was restored from an older copy");
+        self.metrics.store_era.record(era, &[]);
+        let era = StoreEra { era: Some(era), ..before };
+        let Some(era_before) = before.era else {
+            // The other watches need not read again.
+            self.store_era.send_if_modified(|current| {
+                *current = era;
+                false
+            });
+            return;
+        };
+        let now = boottime::now();
+        if era.era > before.era {
+            tracing::warn!(
+                era = era.era,
+                before = era_before,
+                "store was restored from an older copy"
+            );
         } else {
-            tracing::warn!(era, before = before.era, "era of the store fell");
+            tracing::warn!(era = era.era, before = era_before, "era of the store fell");
         }
-        self.metrics.store_era.record(era, &[]);
-        self.targets.on_gap(since);
-        self.store_era.send_replace(StoreEra { era, since });
+        self.targets.on_gap(now);
+        self.store_era.send_replace(StoreEra { restored_at: Some(now), ..era });
     }
 
     /// Returns the period in which the store has answered, as far as this gateway knows.
@@ -228,11 +240,16 @@
 
     /// Returns the time for which missing targets are kept, as far as this gateway knows when the store recovered.
     pub(crate) fn remaining_grace_period(&self, now: Uptime) -> Duration {
-        let period = self.store_service.lock().newest();
-        let ends_at = period.map(|period| period.since + self.grace_period());
+        let ends_at = self.store_recovered_at().map(|at| at + self.grace_period());
         ends_at.unwrap_or_default().saturating_sub(now)
     }
 
+    /// Returns when the store last recovered from an outage, or was restored from an older copy, as far as known.
+    pub(crate) fn store_recovered_at(&self) -> Option<Uptime> {
+        let period = self.store_service.lock().newest();
+        period.map(|period| period.since).max(self.store_era.borrow().restored_at)
+    }
+
     /// Returns the time after the store's recovery in which expired entries of live targets reappear.
     pub(crate) fn grace_period(&self) -> Duration {
         Duration::from_millis(self.settings().lapse_ms)
