Gateway: hold targets that had left when a restored store lists them as ready

Requests reached targets that had left: the copy still listed them as ready, also those that had announced their end or were gone. A start of a target that was leaving, or was removed within the last minute, counts as leaving until it writes itself again, or for three heartbeats and the grace period, in which the entry of a target that is gone expires.

Watches that another kind's answer of a newer era ends read their lists at once, not after a pause.

--- a/crates/core/src/store_service.rs
+++ b/crates/core/src/store_service.rs
@@ -16,6 +16,11 @@
     heartbeat * (EXPIRY_HEARTBEATS - 1)
 }
 
+/// Returns the time after its last heartbeat in which the entry of a target expires.
+pub fn expiry(heartbeat: Duration) -> Duration {
+    heartbeat * EXPIRY_HEARTBEATS
+}
+
 /// Period from one answer of the store to another, without an outage between them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Period {
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -1,6 +1,6 @@
 //! List of targets from the platform, with a grace period for those that disappear after a store outage.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,6 +32,8 @@
     target: Target,
     /// Whether the target is missing from the platform's list after a store outage.
     is_missing: bool,
+    /// Whether it counts as leaving although a restored store lists it as ready.
+    is_held: bool,
 }
 
 /// The last list of targets from the store.
@@ -40,6 +42,20 @@
     listed: BTreeMap<Name, ListedTarget>,
     /// When the store last recovered from an outage, as far as known.
     store_recovered_at: Option<Uptime>,
+    /// Starts of targets that were removed, with the times.
+    departed: BTreeMap<Start, Uptime>,
+    /// When the targets that are held are released.
+    held_until: Uptime,
+}
+
+/// Id and start of a target.
+type Start = (Name, u64);
+
+/// Time for which removed targets are remembered; restores go back by some seconds.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+
+fn start_of(target: &Target) -> Start {
+    (target.id.clone(), target.started_at_ms)
 }
 
 impl TargetList {
@@ -56,7 +72,9 @@
 
     /// Adds or replaces a target.
     pub fn put(&mut self, target: Target) {
-        self.listed.insert(target.id.clone(), ListedTarget { target, is_missing: false });
+        self.departed.remove(&start_of(&target));
+        let listed = ListedTarget { target, is_missing: false, is_held: false };
+        self.listed.insert(listed.target.id.clone(), listed);
     }
 
     /// Removes a target that is missing from the platform's list.
@@ -67,8 +85,52 @@
         let is_recovering = self.is_recovering(now, grace_period);
         match self.listed.get_mut(id) {
             Some(listed) if is_recovering && !listed.target.is_leaving => listed.is_missing = true,
-            _ => drop(self.listed.remove(id)),
+            _ => self.depart(id, now),
+        }
+    }
+
+    fn depart(&mut self, id: &str, now: Uptime) {
+        self.departed.retain(|_, at| now < *at + DEPARTED_RETENTION);
+        if let Some(listed) = self.listed.remove(id) {
+            self.departed.insert(start_of(&listed.target), now);
+        }
+    }
+
+    /// Replaces the list by that of a store that was restored from an older copy.
+    ///
+    /// The copy may list targets as ready that have announced their end since, or are gone. They count as leaving for
+    /// `hold`, until they have written themselves again or their entries have expired.
+    pub fn replace_restored(
+        &mut self,
+        targets: Vec<Target>,
+        now: Uptime,
+        grace_period: Duration,
+        hold: Duration,
+    ) {
+        let leaving = self.listed.values().filter(|listed| listed.target.is_leaving);
+        let mut left: BTreeSet<Start> = leaving.map(|listed| start_of(&listed.target)).collect();
+        left.extend(self.departed.keys().cloned());
+        self.replace(targets, now, grace_period);
+        self.held_until = now + hold;
+        for listed in self.listed.values_mut() {
+            if !listed.target.is_leaving && left.contains(&start_of(&listed.target)) {
+                listed.target.is_leaving = true;
+                listed.is_held = true;
+            }
+        }
+    }
+
+    /// Releases the targets that are held if their time has passed, and returns how many are still held.
+    pub fn release_held(&mut self, now: Uptime) -> usize {
+        let held = self.listed.values_mut().filter(|listed| listed.is_held);
+        if now < self.held_until {
+            return held.count();
+        }
+        for listed in held {
+            listed.target.is_leaving = false;
+            listed.is_held = false;
         }
+        0
     }
 
     /// Replaces the list; targets that are missing from the new one are removed as by [`Self::remove`].
@@ -95,7 +157,7 @@
         let missing = self.listed.iter().filter(|(_, listed)| listed.is_missing);
         let expired: Vec<Name> = missing.map(|(id, _)| id.clone()).collect();
         for id in &expired {
-            self.listed.remove(id);
+            self.depart(id, now);
         }
         expired
     }
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -95,3 +95,50 @@
     list.put(Target { is_leaving: true, ..target("a") });
     assert!(usable(&list).is_empty());
 }
+
+const HOLD: Duration = Duration::from_secs(4);
+
+/// A restored store lists targets as ready that have left since the copy was made.
+#[test]
+fn replace_restored_holds_targets_that_had_left() {
+    let (now, later) = (Duration::from_secs(10), Duration::from_secs(14));
+    let mut list = TargetList::default();
+    for id in ["drained", "removed", "restarted", "live"] {
+        list.put(target(id));
+    }
+    list.put(Target { is_leaving: true, ..target("drained") });
+    list.remove("removed", now, GRACE_PERIOD);
+    list.remove("restarted", now, GRACE_PERIOD);
+    let restarted = Target { started_at_ms: 2, ..target("restarted") };
+    let copy = vec![target("drained"), target("removed"), restarted, target("live")];
+    list.replace_restored(copy, now, GRACE_PERIOD, HOLD);
+    assert_eq!(usable(&list), ["live", "restarted"]);
+    assert_eq!(list.release_held(now), 2);
+    // The entry of one has expired meanwhile.
+    list.remove("removed", later, GRACE_PERIOD);
+    assert_eq!(list.release_held(later), 0);
+    assert_eq!(usable(&list), ["drained", "live", "restarted"]);
+}
+
+/// A target that writes itself as ready after the restore is used at once.
+#[test]
+fn replace_restored_own_write_ends_the_hold() {
+    let mut list = TargetList::default();
+    list.put(target("a"));
+    list.remove("a", Duration::from_secs(10), GRACE_PERIOD);
+    list.replace_restored(vec![target("a")], Duration::from_secs(11), GRACE_PERIOD, HOLD);
+    assert!(usable(&list).is_empty());
+    list.put(target("a"));
+    assert_eq!(usable(&list), ["a"]);
+    assert_eq!(list.release_held(Duration::from_secs(11)), 0);
+}
+
+/// Without a restore, a target that lapsed and is listed again is used at once.
+#[test]
+fn replace_listed_again_is_not_held() {
+    let mut list = TargetList::default();
+    list.put(target("a"));
+    list.remove("a", Duration::from_secs(10), GRACE_PERIOD);
+    list.replace(vec![target("a")], Duration::from_secs(11), GRACE_PERIOD);
+    assert_eq!(usable(&list), ["a"]);
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -86,7 +86,11 @@
         let read = tokio::select! {
             read = shared.store.watch(F::KIND, after, wait) => read,
             // Another watch has found that the store was restored; what this one waits for may be in the list already.
-            _ = era.changed() => Err(Error::HistoryExpired { kind: F::KIND.to_owned(), after }),
+            _ = era.changed() => {
+                after = Version::default();
+                is_delayed = false;
+                continue;
+            }
         };
         match read {
             Ok(changes) => {
@@ -192,7 +196,11 @@
             }
             if is_whole {
                 let targets = changes.objects.iter().filter_map(read_target::<D>).collect();
-                list.replace(targets, now, grace_period);
+                if shared.has_unread_restore.swap(false, Ordering::Relaxed) {
+                    list.replace_restored(targets, now, grace_period, shared.restore_hold());
+                } else {
+                    list.replace(targets, now, grace_period);
+                }
             } else {
                 for object in &changes.objects {
                     match read_target::<D>(object) {
@@ -206,6 +214,9 @@
         if !mixed_pools.is_empty() {
             tokio::spawn(origins::send_own(shared.clone(), mixed_pools));
         }
+        if shared.targets.update(|list| list.release_held(now)) > 0 {
+            tokio::spawn(release_held_targets(shared.clone()));
+        }
         let missing = shared.targets.missing_count();
         tracing::info!(
             changed = changes.objects.len(),
@@ -225,6 +236,12 @@
     }
 }
 
+/// Uses the targets again that a restored store lists although they had left, when they are still listed after a while.
+async fn release_held_targets<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
+    time::sleep(shared.restore_hold()).await;
+    shared.targets.update(|list| list.release_held(boottime::now()));
+}
+
 /// Removes the missing targets when the grace period after the store's recovery has ended. The recovery may turn out to
 /// be earlier while it waits.
 async fn remove_missing_targets<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -74,6 +74,8 @@
     pub(crate) store_answered: Notify,
     /// Whether the store answered the last call for the configuration.
     pub(crate) is_store_reachable: AtomicBool,
+    /// Whether the store was restored from an older copy since the list of targets was read.
+    pub(crate) has_unread_restore: AtomicBool,
     is_reading_config: AtomicBool,
     /// Since when a peer has had a newer configuration.
     pub(crate) newer_config_since: Mutex<Option<Uptime>>,
@@ -113,6 +115,7 @@
             store_service_merged: Notify::new(),
             store_answered: Notify::new(),
             is_store_reachable: AtomicBool::new(false),
+            has_unread_restore: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
             newer_config_since: Mutex::default(),
             budgets: Mutex::default(),
@@ -226,6 +229,7 @@
             tracing::warn!(era = era.era, before = era_before, "era of the store fell");
         }
         self.targets.on_gap(now);
+        self.has_unread_restore.store(true, Ordering::Relaxed);
         self.store_era.send_replace(StoreEra { restored_at: Some(now), ..era });
     }
 
@@ -255,6 +259,13 @@
         Duration::from_millis(self.settings().lapse_ms)
     }
 
+    /// Returns the time after a restore of the store within which targets write themselves again, and the entries of those
+    /// that are gone expire.
+    pub(crate) fn restore_hold(&self) -> Duration {
+        store_service::expiry(Duration::from_millis(self.settings().target_heartbeat_ms.get()))
+            + self.grace_period()
+    }
+
     /// Returns the shortest outage of the store in which the entries of live targets can expire.
     pub(crate) fn min_outage(&self) -> Duration {
         let heartbeat = Duration::from_millis(self.settings().target_heartbeat_ms.get());
