--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod licence;
 pub mod limits;
 pub mod origins;
+pub mod restore;
 mod search;
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -1,9 +1,9 @@
 //! A test cluster of gateways as separate processes; replicas and the store run in the test process.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use marigold_objects::{Expect, Store as _};
@@ -60,6 +60,8 @@
     pub replica_versions: Vec<String>,
     /// Starts of the replicas of the pool `app`, as numbers.
     replica_starts: Vec<u64>,
+    /// What the operator and the replicas wrote last, by kind and name; `None` after a removal.
+    written: Mutex<BTreeMap<(String, String), Option<Value>>>,
     store_addr: SocketAddr,
     _server: Server,
 }
@@ -99,6 +101,7 @@
             version: 0,
             replica_versions: vec![DEFAULT_VERSION.to_owned(); replicas],
             replica_starts: vec![1; replicas],
+            written: Mutex::default(),
             store_addr: addr,
             _server: server,
         };
@@ -168,6 +171,8 @@
     }
 
     async fn put(&self, kind: &str, name: &str, value: &Value) {
+        let key = (kind.to_owned(), name.to_owned());
+        self.written.lock().expect("no panic under the lock").insert(key, Some(value.clone()));
         let written = self.platform.store.put(kind, name, value.to_string(), Expect::Any).await;
         written.expect("the in-memory store accepts a small object");
     }
@@ -198,7 +203,10 @@
 
     /// Removes the entry of a replica of the pool `app`.
     pub async fn remove_replica(&self, number: usize) {
-        let removed = self.platform.store.delete("servers", &self.replicas[number].options.id);
+        let id = self.replicas[number].options.id.clone();
+        let removed = self.platform.store.delete("servers", &id);
+        let key = ("servers".to_owned(), id.clone());
+        self.written.lock().expect("no panic under the lock").insert(key, None);
         removed.await.expect("the in-memory store accepts a removal");
     }
 
@@ -210,6 +218,21 @@
         self.wait_ready(number, true).await;
     }
 
+    /// Writes again what the operator and the replicas wrote last, and removes the entries of removed replicas, as these do
+    /// after a restore of the store.
+    pub async fn write_again(&self) {
+        let written = self.written.lock().expect("no panic under the lock").clone();
+        for ((kind, name), value) in written {
+            match value {
+                Some(value) => self.put(&kind, &name, &value).await,
+                None => {
+                    let removed = self.platform.store.delete(&kind, &name).await;
+                    removed.expect("the in-memory store accepts a removal");
+                }
+            }
+        }
+    }
+
     async fn spawn_gateway(&self, number: usize, store_addr: SocketAddr) -> Gateway {
         let name = format!("gateway-{number}");
         let [addr, ready_addr, link_addr, metrics_addr] =
