Gateway: bound the memory of replies without end

Eight targets that send a body without end at the same time took 177,072 kB of a gateway, of the 64 MB that it may have: a body was gathered up to 16 MB for each request, in growing buffers. All bodies that are being gathered now share 16 MB, beyond 64 KB each, so that small answers are still read. The buffer of a connection to a target, and so the head of a reply, has 64 KB.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -13,7 +13,7 @@
 use marigold_objects::Store;
 use marigold_process::boottime;
 use opentelemetry::KeyValue;
-use tokio::sync::mpsc;
+use tokio::sync::{SemaphorePermit, mpsc};
 use tokio::time;
 
 use crate::attempts::{self, Attempts, Reply};
@@ -27,6 +27,10 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum size of a target's response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Size up to which a response is gathered in any case, in bytes; the rest draws on [`MAX_GATHERED_BYTES`].
+const MIN_GATHERED_BYTES: usize = 64 * 1024;
+/// Memory for all responses that are being gathered, in bytes. Replies without end share it.
+pub(crate) const MAX_GATHERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// A request in progress. Its log line is written when it ends, also when the caller closes the connection and the
 /// guard is dropped.
@@ -320,8 +324,11 @@
             ));
         }
         let is_stream = attempts.route.streams && reply.response.status() == StatusCode::OK;
-        let response =
-            if is_stream { start_stream(attempts, reply).await } else { read_full(reply).await };
+        let response = if is_stream {
+            start_stream(attempts, reply).await
+        } else {
+            read_full(&attempts.shared, reply).await
+        };
         match response {
             Ok(response) => {
                 if let TargetResponse::Stream { first_events: Some(_), stream, .. } = &response {
@@ -348,14 +355,45 @@
     }
 }
 
-async fn read_full(reply: Reply) -> Result<TargetResponse, String> {
+/// Gathers a body; the error is the reason why it was given up.
+async fn gather<D: Dialect, S: Store>(
+    shared: &Shared<D, S>,
+    mut body: Incoming,
+) -> Result<Bytes, String> {
+    let mut gathered = BytesMut::new();
+    let mut memory: Option<SemaphorePermit<'_>> = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| upstream::error_chain(&err))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let size = gathered.len() + data.len();
+        if size > MAX_RESPONSE_BYTES {
+            return Err(format!("the body is larger than {MAX_RESPONSE_BYTES} bytes"));
+        }
+        let missing = size - memory.as_ref().map_or(0, SemaphorePermit::num_permits);
+        if missing > MIN_GATHERED_BYTES {
+            let more = shared.gathered_bytes.try_acquire_many(missing as u32);
+            let more = more.map_err(|_| "the responses in progress are too large".to_owned())?;
+            match &mut memory {
+                Some(memory) => memory.merge(more),
+                None => memory = Some(more),
+            }
+        }
+        gathered.extend_from_slice(&data);
+    }
+    Ok(gathered.freeze())
+}
+
+async fn read_full<D: Dialect, S: Store>(
+    shared: &Shared<D, S>,
+    reply: Reply,
+) -> Result<TargetResponse, String> {
     let Reply { sent, response, .. } = reply;
     let (parts, body) = response.into_parts();
-    let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match gather(shared, body).await {
+        Ok(body) => body,
         Err(err) => {
             sent.on_failure();
-            return Err(upstream::error_chain(&*err));
+            return Err(err);
         }
     };
     if parts.status.is_server_error() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,7 +17,7 @@
 use marigold_schema::settings::GatewaySettings;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::batcher::Batcher;
 use crate::dialect::Dialect;
@@ -26,6 +26,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::origins::Origins;
+use crate::request;
 use crate::stage_runner::ReleaseQueue;
 use crate::targets::{self, TargetTable};
 
@@ -82,6 +83,8 @@
     budgets: Mutex<HashMap<Name, WindowBudget>>,
     /// Versions of targets that the metrics have, with the last counts.
     reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
+    /// Memory that is left for responses that are being gathered, in bytes.
+    pub(crate) gathered_bytes: Semaphore,
     in_flight: AtomicUsize,
     dialect: PhantomData<D>,
 }
@@ -120,6 +123,7 @@
             newer_config_since: Mutex::default(),
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
+            gathered_bytes: Semaphore::new(request::MAX_GATHERED_BYTES),
             in_flight: AtomicUsize::new(0),
             dialect: PhantomData,
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,6 +21,8 @@
 /// Timeout for opening a connection. It covers several round trips and the target's handshake, for which the
 /// deployments' data sheets state 1 ms.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum size of the head of a reply, and of the buffer of a connection, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Time without an answer after which the kernel probes a connection, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the kernel closes a connection.
@@ -91,7 +93,9 @@
             .map_err(|err| not_sent(err.to_string()))?;
         configure_socket(&stream).map_err(|err| not_sent(err.to_string()))?;
         let local = stream.local_addr().map_err(|err| not_sent(err.to_string()))?;
-        let (send, connection) = http1::handshake(TokioIo::new(stream))
+        let (send, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         let task = tokio::spawn(async move {
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -32,6 +32,10 @@
     Unsigned,
     /// The connection closes before the end of the response; a stream ends within its third event.
     Truncated,
+    /// The head of the response never ends.
+    EndlessHead,
+    /// The body of the response never ends, and holds no complete event.
+    EndlessBody,
     /// An input has been removed: the replica does not run the request and says so with status 409.
     InputRemoved,
 }
@@ -334,6 +338,16 @@
         state.in_progress.fetch_add(1, Ordering::SeqCst);
         let _working = InProgressGuard(&state.in_progress);
         match fault {
+            Some(Fault::EndlessHead) => {
+                return self.send_without_end(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n").await;
+            }
+            Some(Fault::EndlessBody) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nReplica-Seal: s\r\n\r\n",
+                    run.request
+                );
+                return self.send_without_end(head.as_bytes(), b"data: x\n").await;
+            }
             Some(Fault::NoResponse) => return self.stream.shutdown().await,
             Some(Fault::Hang) => {
                 // The read returns when the caller closes the connection.
@@ -369,6 +383,15 @@
         }
     }
 
+    /// Sends `start`, then `part` again and again until the caller closes the connection.
+    async fn send_without_end(&mut self, start: &[u8], part: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(start).await?;
+        let parts = part.repeat(1_000);
+        loop {
+            self.stream.write_all(&parts).await?;
+        }
+    }
+
     async fn stream_events(
         &mut self,
         run: &Run,
