--- a/crates/model/src/adoption.rs
+++ b/crates/model/src/adoption.rs
@@ -5,7 +5,7 @@
 use marigold_core::ids::Revision;
 use marigold_schema::messages::{Change, Delta};
 
-use crate::search;
+use crate::search::{self, Exploration};
 
 const ENTRIES: usize = 3;
 const MAJORITY: usize = 2;
@@ -48,17 +48,6 @@
     violation: Option<&'static str>,
 }
 
-/// Result of an exploration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Exploration {
-    /// Number of distinct states reached.
-    pub states: usize,
-    /// Number of actions from the start to the last state reached.
-    pub depth: usize,
-    /// Description of the first violation.
-    pub violation: Option<&'static str>,
-}
-
 fn first_change() -> ItemChange {
     (PRESET_ITEM.to_owned(), Some("ordinary".to_owned()))
 }
@@ -101,11 +90,7 @@
         |state| actions.successors(state),
         |state| state.violation.is_some(),
     );
-    Exploration {
-        states: result.states,
-        depth: result.depth,
-        violation: result.found.and_then(|state| state.violation),
-    }
+    result.into_exploration(|state| state.violation)
 }
 
 struct Actions {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,5 +1,5 @@
-//! Bounded models of the core protocols. They call the same state machines as the processes, and are explored
-//! exhaustively.
+//! Bounded models of the core protocols, explored exhaustively. Those of licences and of adoption call the same state
+//! machines as the processes; the others have state machines of their own.
 
 pub mod adoption;
 mod copy_on_write;
@@ -8,3 +8,5 @@
 pub mod origins;
 pub mod restore;
 mod search;
+
+pub use search::Exploration;
--- a/crates/model/src/limits.rs
+++ b/crates/model/src/limits.rs
@@ -3,7 +3,7 @@
 //!
 //! The bound counts the requests of gateways that were neither cut off nor restarted.
 
-use crate::search;
+use crate::search::{self, Exploration};
 
 const GATEWAYS: usize = 3;
 /// Length of the window of the bound, in ticks.
@@ -59,17 +59,6 @@
     }
 }
 
-/// Result of an exploration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Exploration {
-    /// Number of distinct states reached.
-    pub states: usize,
-    /// Number of actions from the start to the last state reached.
-    pub depth: usize,
-    /// Whether a state exceeds the bound.
-    pub is_violated: bool,
-}
-
 /// Faults that may happen in an exploration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
@@ -101,7 +90,7 @@
     };
     let result =
         search::breadth_first(start, |state| actions.successors(state), State::is_violated);
-    Exploration { states: result.states, depth: result.depth, is_violated: result.found.is_some() }
+    result.into_exploration(|_| Some("more requests than the limit allows"))
 }
 
 struct Actions {
--- a/crates/model/src/origins.rs
+++ b/crates/model/src/origins.rs
@@ -3,7 +3,7 @@
 //!
 //! Assumed: the last target of the old version leaves later than the new version is used for streams.
 
-use crate::search;
+use crate::search::{self, Exploration};
 
 const GATEWAYS: usize = 3;
 
@@ -63,17 +63,6 @@
     restarts_left: u8,
 }
 
-/// Result of an exploration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Exploration {
-    /// Number of distinct states reached.
-    pub states: usize,
-    /// Number of actions from the start to the last state reached.
-    pub depth: usize,
-    /// Whether a stream goes on at another version.
-    pub is_violated: bool,
-}
-
 /// Explores all states up to the first violation, without the `omitted` rule.
 pub fn explore(omitted: Option<Rule>) -> Exploration {
     let gateway = Gateway {
@@ -95,7 +84,7 @@
         |state| actions.successors(state),
         |state| state.stream == Stream::Mixed,
     );
-    Exploration { states: result.states, depth: result.depth, is_violated: result.found.is_some() }
+    result.into_exploration(|_| Some("a stream goes on at another version"))
 }
 
 struct Actions {
--- a/crates/model/src/restore.rs
+++ b/crates/model/src/restore.rs
@@ -1,7 +1,7 @@
 //! Model of a store that is restored from older copies, and of two gateways that watch one object in it: the configuration,
 //! which the operator writes with rising versions, and writes again after a restore.
 
-use crate::search;
+use crate::search::{self, Exploration};
 
 const GATEWAYS: usize = 2;
 /// Configurations that the operator writes.
@@ -47,17 +47,6 @@
     violation: Option<&'static str>,
 }
 
-/// Result of an exploration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Exploration {
-    /// Number of distinct states reached.
-    pub states: usize,
-    /// Number of actions from the start to the last state reached.
-    pub depth: usize,
-    /// Description of the first violation.
-    pub violation: Option<&'static str>,
-}
-
 /// Explores all states up to the first violation, without the `omitted` rule.
 pub fn explore(omitted: Option<Rule>) -> Exploration {
     let stored = Stored { revision: 1, config: 1, written_at: 1 };
@@ -77,11 +66,7 @@
         |state| actions.successors(state),
         |state| state.violation.is_some(),
     );
-    Exploration {
-        states: result.states,
-        depth: result.depth,
-        violation: result.found.and_then(|state| state.violation),
-    }
+    result.into_exploration(|state| state.violation)
 }
 
 struct Actions {
--- a/crates/model/src/search.rs
+++ b/crates/model/src/search.rs
@@ -19,6 +19,28 @@
     pub(crate) found: Option<S>,
 }
 
+/// Result of an exploration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Exploration {
+    /// Number of distinct states reached.
+    pub states: usize,
+    /// Number of actions from the start to the last state reached.
+    pub depth: usize,
+    /// Description of the first violation.
+    pub violation: Option<&'static str>,
+}
+
+impl<S> SearchResult<S> {
+    /// Returns the result of a search for a violation, which `describe` describes.
+    pub(crate) fn into_exploration(
+        self,
+        describe: impl FnOnce(S) -> Option<&'static str>,
+    ) -> Exploration {
+        let violation = self.found.and_then(describe);
+        Exploration { states: self.states, depth: self.depth, violation }
+    }
+}
+
 fn fingerprint<S: Hash>(state: &S) -> u128 {
     let mut hasher = Xxh3::new();
     state.hash(&mut hasher);
--- a/crates/model/tests/limits.rs
+++ b/crates/model/tests/limits.rs
@@ -8,7 +8,7 @@
     for scope in [Scope::Views, Scope::Cut, Scope::Restarts] {
         let result = explore(scope, None);
         println!("limits, {scope:?}: {} states, depth {}", result.states, result.depth);
-        assert!(!result.is_violated);
+        assert_eq!(result.violation, None);
         assert!(result.states > 1_000, "only {} states: the bounds are too small", result.states);
     }
 }
@@ -17,7 +17,7 @@
     let result = explore(scope, Some(rule));
     println!("without {rule:?}: {} states, depth {}", result.states, result.depth);
     assert!(
-        result.is_violated,
+        result.violation.is_some(),
         "no violation without {rule:?}: the model does not show that the rule is needed"
     );
 }
--- a/crates/model/tests/origins.rs
+++ b/crates/model/tests/origins.rs
@@ -6,7 +6,7 @@
 fn explore_full_protocol() {
     let result = explore(None);
     println!("origins: {} states, depth {}", result.states, result.depth);
-    assert!(!result.is_violated);
+    assert_eq!(result.violation, None);
     assert!(result.states > 1_000, "only {} states: the bounds are too small", result.states);
 }
 
@@ -14,7 +14,7 @@
     let result = explore(Some(rule));
     println!("without {rule:?}: {} states, depth {}", result.states, result.depth);
     assert!(
-        result.is_violated,
+        result.violation.is_some(),
         "no violation without {rule:?}: the model does not show that the rule is needed"
     );
 }
