--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a target, and to further targets when a retry is allowed.
 
 mod continuation;
+mod limited;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -13,14 +14,14 @@
 use marigold_core::router::Candidate;
 use marigold_core::routes::{Customer, Repeat, Route};
 use marigold_core::targets::Target;
-use marigold_core::{admission, placement, target_limit};
+use marigold_core::{admission, placement};
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
-use crate::limits::{self, Demand};
+use crate::limits;
 use crate::response::Failure;
 use crate::shared::{AdoptedConfig, Shared};
 use crate::stage_runner::{Results, StageRunner};
@@ -360,43 +361,6 @@
         }
     }
 
-    fn demand(&self) -> Demand<'_> {
-        Demand { priority: self.priority(), customer: self.customer_name() }
-    }
-
-    /// Returns whether a target of the pool that has not been tried is in `held`.
-    fn is_pool_in(&self, held: &HashSet<Name>) -> bool {
-        !held.is_empty()
-            && self.shared.targets.in_pool(&self.pool).iter().any(|tracked| {
-                held.contains(&tracked.target.id) && !self.tried.contains(&tracked.target.id)
-            })
-    }
-
-    /// Refuses the request, before any work is done, while the limits of the pool's targets leave no request for it.
-    ///
-    /// # Errors
-    /// A refusal.
-    pub(crate) fn check_limits(&self) -> Result<(), Failure> {
-        let now = boottime::now();
-        let held = self.shared.limits.held(self.demand(), false, now);
-        if self.is_pool_in(&held) && self.pick_target(now, &held).is_none() {
-            return Err(self.limit_failure());
-        }
-        Ok(())
-    }
-
-    /// Returns the failure of a request for which the limits of the targets leave no place.
-    fn limit_failure(&self) -> Failure {
-        if self.runs > 0 {
-            return self.no_target_failure();
-        }
-        let labels = [KeyValue::new("pool", self.pool.clone())];
-        self.shared.metrics.limit_refusals.add(1, &labels);
-        let time_left = self.deadline.saturating_sub(boottime::now());
-        let retry_after = target_limit::retry_after(time_left, self.priority(), &mut rand::rng());
-        Failure::refused("the targets take no more requests at present", retry_after)
-    }
-
     fn no_target_failure(&self) -> Failure {
         if self.runs > 0 {
             return Failure::new(
