--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -4,6 +4,8 @@
 //! gateway sends the calls to it, and is chosen by hashing otherwise. Gateways that know no limit of a target send
 //! without asking; the first reply tells them.
 
+mod asks;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,19 +15,16 @@
 use marigold_core::target_limit::{self, Ask, Grant, Grants, Notice};
 use marigold_objects::Store;
 use marigold_process::boottime;
-use marigold_schema::messages::{LimitAsk, LimitGrant, LimitNotice};
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
 
+pub(crate) use self::asks::{ASK_TIMEOUT, answer};
 use crate::dialect::{Dialect, LimitStatement};
 use crate::members::Owner;
 use crate::peers;
 use crate::shared::Shared;
 use crate::targets::TrackedTarget;
 
-/// Timeout of an ask. The round trip between gateways of one region takes milliseconds; meanwhile other targets could
-/// serve the request.
-pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after an ask without an answer for which the target gets no requests from this gateway. Gateways notice within
 /// two polls that an owner is unresponsive, and then ask the next one.
 const UNANSWERED_HOLD: Duration = Duration::from_millis(200);
@@ -109,10 +108,11 @@
 }
 
 impl TargetLimit {
-    fn new(pool: Name, notice: Notice, now: Uptime) -> Self {
+    /// Creates the state of a target of which nothing is known yet.
+    fn new(pool: Name, now: Uptime) -> Self {
         Self {
             pool,
-            notice,
+            notice: Notice { per_s: None, sent_at: Uptime::ZERO, received_at: Uptime::ZERO },
             last_used: now,
             holds: Vec::new(),
             reserve: Reserve::default(),
@@ -254,10 +254,9 @@
             return false;
         }
         let now = notice.received_at;
-        let limit = targets.entry(start).or_insert_with(|| {
-            let unknown = Notice { per_s: None, sent_at: Uptime::ZERO, received_at: Uptime::ZERO };
-            TargetLimit::new(tracked.target.pool.clone(), unknown, now)
-        });
+        let limit = targets
+            .entry(start)
+            .or_insert_with(|| TargetLimit::new(tracked.target.pool.clone(), now));
         limit.last_used = now;
         let was_limited = limit.notice.per_s.is_some();
         limit.merge(&id, notice, "reply");
@@ -350,7 +349,8 @@
         && let Owner::Remote(owner) = shared.members.limit_owner(&tracked.target)
     {
         // The other gateways learn from the owner that they need no more grants.
-        let ask = to_ask(shared, tracked, Demand { priority: 0, customer: None }, 0, notice);
+        let ask =
+            asks::to_message(shared, tracked, Demand { priority: 0, customer: None }, 0, notice);
         tokio::spawn(async move {
             if let Err(err) = peers::ask_limit(&owner, ask).await {
                 tracing::debug!(member = owner.name, err, "end of a limit not reported");
@@ -378,10 +378,10 @@
             (is_granted, if is_granted { "granted" } else { "denied" })
         }
         Owner::Remote(owner) => {
-            let ask = to_ask(shared, tracked, demand, wanted, notice);
+            let ask = asks::to_message(shared, tracked, demand, wanted, notice);
             match peers::ask_limit(&owner, ask).await {
                 Ok(answer) => {
-                    let is_granted = apply_answer(shared, tracked, demand, asked_at, &answer);
+                    let is_granted = asks::apply_answer(shared, tracked, demand, asked_at, &answer);
                     (is_granted, if is_granted { "granted" } else { "denied" })
                 }
                 Err(err) => {
@@ -436,101 +436,3 @@
 pub(crate) fn refund<D, S>(shared: &Shared<D, S>, tracked: &TrackedTarget) {
     shared.limits.with_target(tracked, |limit| limit.grants.as_mut().map(Grants::refund));
 }
-
-fn to_ask<D: Dialect, S>(
-    shared: &Shared<D, S>,
-    tracked: &TrackedTarget,
-    demand: Demand<'_>,
-    wanted: u32,
-    notice: Notice,
-) -> LimitAsk {
-    let (target, started_at_ms) = start_of(tracked);
-    LimitAsk {
-        asker: shared.settings().name.clone(),
-        target,
-        started_at_ms,
-        pool: tracked.target.pool.clone(),
-        priority: demand.priority,
-        customer: demand.customer.map(str::to_owned),
-        wanted,
-        notice: to_message(notice, boottime::now()),
-    }
-}
-
-fn to_message(notice: Notice, now: Uptime) -> LimitNotice {
-    let age = |at: Uptime| now.saturating_sub(at).as_millis() as u64;
-    LimitNotice {
-        per_s: notice.per_s,
-        sent_age_ms: age(notice.sent_at) + 1,
-        received_age_ms: age(notice.received_at),
-    }
-}
-
-/// Converts a notice whose ages were determined at `earliest` or later. The period in which the reply was made is taken
-/// as long as that allows.
-fn from_message(notice: &LimitNotice, earliest: Uptime, now: Uptime) -> Notice {
-    let before = |at: Uptime, age_ms| at.saturating_sub(Duration::from_millis(age_ms));
-    let per_s = notice.per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
-    Notice {
-        per_s,
-        sent_at: before(earliest, notice.sent_age_ms),
-        received_at: before(now, notice.received_age_ms),
-    }
-}
-
-fn apply_answer<D: Dialect, S: Store>(
-    shared: &Arc<Shared<D, S>>,
-    tracked: &TrackedTarget,
-    demand: Demand<'_>,
-    asked_at: Uptime,
-    answer: &LimitGrant,
-) -> bool {
-    let now = boottime::now();
-    let notice = from_message(&answer.notice, asked_at, now);
-    let grant = if answer.granted > 0 {
-        Grant::Granted(answer.granted)
-    } else {
-        let wait = Duration::from_millis(answer.wait_ms);
-        Grant::Denied { wait, is_own_share: answer.own_share }
-    };
-    let apply = |limit: &mut TargetLimit| {
-        limit.merge(&tracked.target.id, notice, "gateway");
-        limit.apply(grant, asked_at, now, demand)
-    };
-    shared.limits.with_target(tracked, apply).unwrap_or(answer.granted > 0)
-}
-
-/// Answers the ask of another gateway as the owner of a target's limit.
-pub(crate) fn answer<D: Dialect, S>(shared: &Shared<D, S>, ask: LimitAsk) -> LimitGrant {
-    let now = boottime::now();
-    let reachable = shared.members.reachable_part(now);
-    let notice = from_message(&ask.notice, now.saturating_sub(ASK_TIMEOUT), now);
-    let mut targets = shared.limits.targets.lock();
-    let start = (ask.target.clone(), ask.started_at_ms);
-    if targets.len() >= MAX_TARGETS && !targets.contains_key(&start) {
-        tracing::warn!(target = ask.target, "too many targets have limits; ask denied");
-        let wait_ms = UNANSWERED_HOLD.as_millis() as u64;
-        return LimitGrant { granted: 0, wait_ms, own_share: false, notice: ask.notice };
-    }
-    let limit =
-        targets.entry(start).or_insert_with(|| TargetLimit::new(ask.pool.clone(), notice, now));
-    limit.merge(&ask.target, notice, "gateway");
-    let question = Ask {
-        asker: ask.asker,
-        priority: ask.priority,
-        customer: ask.customer,
-        wanted: ask.wanted.min(MAX_GRANT),
-    };
-    let grant = match ask.wanted {
-        0 => Grant::Granted(0),
-        _ => limit.grant(now, reachable, question),
-    };
-    let notice = to_message(limit.notice, now);
-    shared.limits.count.store(targets.len(), Ordering::Relaxed);
-    match grant {
-        Grant::Granted(granted) => LimitGrant { granted, wait_ms: 0, own_share: false, notice },
-        Grant::Denied { wait, is_own_share: own_share } => {
-            LimitGrant { granted: 0, wait_ms: wait.as_millis() as u64, own_share, notice }
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/limits/asks.rs
@@ -0,0 +1,119 @@
+//! Asks for requests to targets with limits, between gateways.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use marigold_core::ids::Uptime;
+use marigold_core::target_limit::{Ask, Grant, Notice};
+use marigold_objects::Store;
+use marigold_process::boottime;
+use marigold_schema::messages::{LimitAsk, LimitGrant, LimitNotice};
+
+use super::{Demand, MAX_GRANT, MAX_TARGETS, TargetLimit, UNANSWERED_HOLD, start_of};
+use crate::dialect::Dialect;
+use crate::shared::Shared;
+use crate::targets::TrackedTarget;
+
+/// Timeout of an ask. The round trip between gateways of one region takes milliseconds; meanwhile other targets could
+/// serve the request.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Returns the ask for requests to a target.
+pub(super) fn to_message<D: Dialect, S>(
+    shared: &Shared<D, S>,
+    tracked: &TrackedTarget,
+    demand: Demand<'_>,
+    wanted: u32,
+    notice: Notice,
+) -> LimitAsk {
+    let (target, started_at_ms) = start_of(tracked);
+    LimitAsk {
+        asker: shared.settings().name.clone(),
+        target,
+        started_at_ms,
+        pool: tracked.target.pool.clone(),
+        priority: demand.priority,
+        customer: demand.customer.map(str::to_owned),
+        wanted,
+        notice: notice_message(notice, boottime::now()),
+    }
+}
+
+fn notice_message(notice: Notice, now: Uptime) -> LimitNotice {
+    let age = |at: Uptime| now.saturating_sub(at).as_millis() as u64;
+    LimitNotice {
+        per_s: notice.per_s,
+        sent_age_ms: age(notice.sent_at) + 1,
+        received_age_ms: age(notice.received_at),
+    }
+}
+
+/// Converts a notice whose ages were determined at `earliest` or later. The period in which the reply was made is taken
+/// as long as that allows.
+fn parse_notice(notice: &LimitNotice, earliest: Uptime, now: Uptime) -> Notice {
+    let before = |at: Uptime, age_ms| at.saturating_sub(Duration::from_millis(age_ms));
+    let per_s = notice.per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
+    Notice {
+        per_s,
+        sent_at: before(earliest, notice.sent_age_ms),
+        received_at: before(now, notice.received_age_ms),
+    }
+}
+
+/// Applies the answer to an ask that was sent at `asked_at`; returns whether the request may be sent.
+pub(super) fn apply_answer<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
+    tracked: &TrackedTarget,
+    demand: Demand<'_>,
+    asked_at: Uptime,
+    answer: &LimitGrant,
+) -> bool {
+    let now = boottime::now();
+    let notice = parse_notice(&answer.notice, asked_at, now);
+    let grant = if answer.granted > 0 {
+        Grant::Granted(answer.granted)
+    } else {
+        let wait = Duration::from_millis(answer.wait_ms);
+        Grant::Denied { wait, is_own_share: answer.own_share }
+    };
+    let apply = |limit: &mut TargetLimit| {
+        limit.merge(&tracked.target.id, notice, "gateway");
+        limit.apply(grant, asked_at, now, demand)
+    };
+    shared.limits.with_target(tracked, apply).unwrap_or(answer.granted > 0)
+}
+
+/// Answers the ask of another gateway as the owner of a target's limit.
+pub(crate) fn answer<D: Dialect, S>(shared: &Shared<D, S>, ask: LimitAsk) -> LimitGrant {
+    let now = boottime::now();
+    let reachable = shared.members.reachable_part(now);
+    let notice = parse_notice(&ask.notice, now.saturating_sub(ASK_TIMEOUT), now);
+    let mut targets = shared.limits.targets.lock();
+    let start = (ask.target.clone(), ask.started_at_ms);
+    if targets.len() >= MAX_TARGETS && !targets.contains_key(&start) {
+        tracing::warn!(target = ask.target, "too many targets have limits; ask denied");
+        let wait_ms = UNANSWERED_HOLD.as_millis() as u64;
+        return LimitGrant { granted: 0, wait_ms, own_share: false, notice: ask.notice };
+    }
+    let limit = targets.entry(start).or_insert_with(|| TargetLimit::new(ask.pool.clone(), now));
+    limit.merge(&ask.target, notice, "gateway");
+    let question = Ask {
+        asker: ask.asker,
+        priority: ask.priority,
+        customer: ask.customer,
+        wanted: ask.wanted.min(MAX_GRANT),
+    };
+    let grant = match ask.wanted {
+        0 => Grant::Granted(0),
+        _ => limit.grant(now, reachable, question),
+    };
+    let notice = notice_message(limit.notice, now);
+    shared.limits.count.store(targets.len(), Ordering::Relaxed);
+    match grant {
+        Grant::Granted(granted) => LimitGrant { granted, wait_ms: 0, own_share: false, notice },
+        Grant::Denied { wait, is_own_share: own_share } => {
+            LimitGrant { granted: 0, wait_ms: wait.as_millis() as u64, own_share, notice }
+        }
+    }
+}
