--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -267,7 +267,7 @@
         // Targets whose limits left no request for this one.
         let mut denied = HashSet::new();
         loop {
-            let mut now = boottime::now();
+            let now = boottime::now();
             let is_denied_often = denied.len() >= MAX_DENIED_ASKS;
             let mut held = self.shared.limits.held(self.demand(), is_denied_often, now);
             held.extend(denied.iter().cloned());
@@ -284,8 +284,8 @@
                 denied.insert(tracked.target.id.clone());
                 continue;
             }
-            // Asking the owner of a limit takes time.
-            now = now.max(boottime::now());
+            // Asking the owner of a limit has taken time.
+            let now = boottime::now();
             self.tried.insert(tracked.target.id.clone());
             let mut connection = match Connection::open(tracked.target.addr).await {
                 Ok(connection) => connection,
