--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -1,6 +1,7 @@
 //! Streams that go on: where they began, and at which targets they may go on.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use marigold_core::ids::SoftwareVersion;
@@ -18,6 +19,9 @@
 use crate::response::Failure;
 use crate::targets::TrackedTarget;
 
+/// Retry-After of a stream that cannot go on. The caller may begin a new one at once.
+const RESTART_DELAY: Duration = Duration::from_millis(100);
+
 /// Where the stream of a request began.
 #[derive(Clone, Debug)]
 pub(crate) struct Begun {
@@ -107,10 +111,9 @@
         );
         let labels = [KeyValue::new("reason", reason)];
         self.shared.metrics.streams_not_continued.add(1, &labels);
-        self.refused(
-            "the stream cannot go on at the software version that began it; \
-             start a new stream, without the id of an event",
-        )
+        let text = "the stream cannot go on at the software version that began it; \
+                    start a new stream, without the id of an event";
+        Failure::refused(text, RESTART_DELAY)
     }
 
     /// Resumes a stream at another target; returns `None` when that is not allowed or fails.
