Gateway: tell other gateways of limits that have changed

With many gateways a target in need got nearly its usual load for minutes, since each gateway sent to it until one of its own replies had named the limit: at 330 gateways and some two requests a second, 330 requests. Changes of limits, ends too, are now told in the polls between gateways for 3 s, at most 16 at a time.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -15,10 +15,11 @@
 use marigold_core::target_limit::{self, Ask, Grant, Grants, Notice};
 use marigold_objects::Store;
 use marigold_process::boottime;
+use marigold_schema::messages;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
 
-pub(crate) use self::asks::{ASK_TIMEOUT, answer};
+pub(crate) use self::asks::{ASK_TIMEOUT, answer, merge_changed};
 use crate::dialect::{Dialect, LimitStatement};
 use crate::members::Owner;
 use crate::peers;
@@ -34,6 +35,10 @@
 const MAX_GRANT: u32 = 64;
 /// Time for which a limit is remembered after its last use, when its target is not listed or it has ended.
 const RETENTION: Duration = Duration::from_secs(30);
+/// Time for which a change of a limit is told to other gateways in polls; it reaches all within a few polls.
+const TELLING_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of changes that are told in one poll.
+const MAX_TOLD: usize = 16;
 /// Maximum number of targets whose limits are remembered; the asks of other gateways could otherwise exhaust memory.
 const MAX_TARGETS: usize = 16_384;
 
@@ -99,6 +104,8 @@
 struct TargetLimit {
     pool: Name,
     notice: Notice,
+    /// When this gateway learned of the last change of the limit.
+    changed_at: Uptime,
     last_used: Uptime,
     holds: Vec<Hold>,
     reserve: Reserve,
@@ -113,6 +120,7 @@
         Self {
             pool,
             notice: Notice { per_s: None, sent_at: Uptime::ZERO, received_at: Uptime::ZERO },
+            changed_at: now,
             last_used: now,
             holds: Vec::new(),
             reserve: Reserve::default(),
@@ -127,6 +135,7 @@
         self.notice = self.notice.merge(notice);
         let limit = self.notice.per_s;
         if limit != before {
+            self.changed_at = boottime::now();
             tracing::info!(
                 target = id,
                 pool = self.pool,
@@ -245,6 +254,17 @@
         used.map(|((id, _), limit)| (id.clone(), limit.pool.clone())).collect()
     }
 
+    /// Returns the limits that have changed recently, for other gateways.
+    pub(crate) fn changed(&self, now: Uptime) -> Vec<messages::TargetLimit> {
+        if self.is_empty() {
+            return Vec::new();
+        }
+        let targets = self.targets.lock();
+        let is_changed = |limit: &TargetLimit| now < limit.changed_at + TELLING_TIME;
+        let changed = targets.iter().filter(|(_, limit)| is_changed(limit)).take(MAX_TOLD);
+        changed.map(|(start, limit)| asks::to_target_limit(start, limit, now)).collect()
+    }
+
     /// Records a notice of a target; returns whether it ended the limit that was known.
     fn observe(&self, tracked: &TrackedTarget, notice: Notice) -> bool {
         let mut targets = self.targets.lock();
--- a/crates/gateway/src/limits/asks.rs
+++ b/crates/gateway/src/limits/asks.rs
@@ -1,4 +1,4 @@
-//! Asks for requests to targets with limits, between gateways.
+//! Messages between gateways about targets with limits: asks for requests, and changes of limits.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,9 +8,9 @@
 use marigold_core::target_limit::{Ask, Grant, Notice};
 use marigold_objects::Store;
 use marigold_process::boottime;
-use marigold_schema::messages::{LimitAsk, LimitGrant, LimitNotice};
+use marigold_schema::messages::{self, LimitAsk, LimitGrant, LimitNotice};
 
-use super::{Demand, MAX_GRANT, MAX_TARGETS, TargetLimit, UNANSWERED_HOLD, start_of};
+use super::{Demand, MAX_GRANT, MAX_TARGETS, TargetLimit, TargetStart, UNANSWERED_HOLD, start_of};
 use crate::dialect::Dialect;
 use crate::shared::Shared;
 use crate::targets::TrackedTarget;
@@ -40,6 +40,44 @@
     }
 }
 
+/// Returns what is told to other gateways of a limit that has changed.
+pub(super) fn to_target_limit(
+    (target, started_at_ms): &TargetStart,
+    limit: &TargetLimit,
+    now: Uptime,
+) -> messages::TargetLimit {
+    messages::TargetLimit {
+        target: target.clone(),
+        started_at_ms: *started_at_ms,
+        pool: limit.pool.clone(),
+        notice: notice_message(limit.notice, now),
+    }
+}
+
+/// Merges changes of limits that another gateway told in a message that was sent at `earliest` or later.
+pub(crate) fn merge_changed<D: Dialect, S>(
+    shared: &Shared<D, S>,
+    changed: Vec<messages::TargetLimit>,
+    earliest: Uptime,
+) {
+    if changed.is_empty() {
+        return;
+    }
+    let now = boottime::now();
+    let mut targets = shared.limits.targets.lock();
+    for messages::TargetLimit { target, started_at_ms, pool, notice } in changed {
+        let notice = parse_notice(&notice, earliest, now);
+        let start = (target.clone(), started_at_ms);
+        let is_known = targets.contains_key(&start);
+        if !is_known && (notice.per_s.is_none() || targets.len() >= MAX_TARGETS) {
+            continue;
+        }
+        let limit = targets.entry(start).or_insert_with(|| TargetLimit::new(pool, now));
+        limit.merge(&target, notice, "gateway");
+    }
+    shared.limits.count.store(targets.len(), Ordering::Relaxed);
+}
+
 fn notice_message(notice: Notice, now: Uptime) -> LimitNotice {
     let age = |at: Uptime| now.saturating_sub(at).as_millis() as u64;
     LimitNotice {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -174,6 +174,7 @@
         return;
     }
     shared.members.on_facts(&facts);
+    limits::merge_changed(&shared, facts.limits.clone(), sent);
     if !shared.remaining_grace_period(boottime::now()).is_zero() {
         merge_store_service(&shared, &member).await;
     }
@@ -281,6 +282,8 @@
             Request::Facts(facts) => {
                 // A gateway that cannot reach the store discovers new gateways from their polls.
                 shared.members.put(facts.name, &facts.entry);
+                let earliest = boottime::now().saturating_sub(REPLY_TIMEOUT);
+                limits::merge_changed(shared, facts.limits, earliest);
                 replies.send(&Reply::Facts(shared.facts())).await?;
             }
             Request::ReadStoreService => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -289,13 +289,15 @@
 
     /// Returns the state that this gateway reports to others.
     pub(crate) fn facts(&self) -> GatewayFacts {
-        let age = self.freshness.lock().age(boottime::now());
+        let now = boottime::now();
+        let age = self.freshness.lock().age(now);
         GatewayFacts {
             name: self.settings().name.clone(),
             entry: self.entry(),
             config_version: self.config_version(),
             proof_age_ms: age.map(|age| age.as_millis() as u64),
             leaving: self.is_stopping(),
+            limits: self.limits.changed(now),
         }
     }
 
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -617,6 +617,7 @@
 ///    "config_version",
 ///    "entry",
 ///    "leaving",
+///    "limits",
 ///    "name"
 ///  ],
 ///  "properties": {
@@ -633,6 +634,13 @@
 ///      "description": "Whether the gateway is being stopped.",
 ///      "type": "boolean"
 ///    },
+///    "limits": {
+///      "description": "Limits of targets that have changed within the last seconds, as far as the gateway knows.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/TargetLimit"
+///      }
+///    },
 ///    "name": {
 ///      "type": "string"
 ///    },
@@ -653,6 +661,8 @@
     pub entry: GatewayEntry,
     ///Whether the gateway is being stopped.
     pub leaving: bool,
+    ///Limits of targets that have changed within the last seconds, as far as the gateway knows.
+    pub limits: ::std::vec::Vec<TargetLimit>,
     pub name: ::std::string::String,
     ///Time since it was last verified that no newer configuration existed, in milliseconds; absent if it was never verified.
     #[serde(default)]
@@ -2477,6 +2487,47 @@
     ///Version of the target's software.
     pub version: ::std::string::String,
 }
+///What a target said about its limit.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What a target said about its limit.",
+///  "type": "object",
+///  "required": [
+///    "notice",
+///    "pool",
+///    "started_at_ms",
+///    "target"
+///  ],
+///  "properties": {
+///    "notice": {
+///      "$ref": "#/definitions/LimitNotice"
+///    },
+///    "pool": {
+///      "type": "string"
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the target, in milliseconds since the Unix epoch.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "target": {
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TargetLimit {
+    pub notice: LimitNotice,
+    pub pool: ::std::string::String,
+    ///Start of the target, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    pub target: ::std::string::String,
+}
 ///Keys of a shard that an entry has sent, or that were replicated to it.
 ///
 /// <details><summary>JSON schema</summary>
