--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -190,7 +190,7 @@
         let now = boottime::now();
         let grace_period = shared.grace_period();
         let recovered_at = shared.store_recovered_at();
-        shared.targets.update(|list| {
+        let held = shared.targets.update(|list| {
             if let Some(at) = recovered_at {
                 list.on_store_recovered(at);
             }
@@ -209,12 +209,13 @@
                     }
                 }
             }
+            list.release_held(now)
         });
         let mixed_pools = shared.targets.take_newly_mixed();
         if !mixed_pools.is_empty() {
             tokio::spawn(origins::send_own(shared.clone(), mixed_pools));
         }
-        if shared.targets.update(|list| list.release_held(now)) > 0 {
+        if held > 0 {
             tokio::spawn(release_held_targets(shared.clone()));
         }
         let missing = shared.targets.missing_count();
@@ -223,6 +224,7 @@
             is_whole,
             usable = shared.targets.len(),
             missing,
+            held,
             version = %changes.version,
             "targets changed"
         );
