--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// Granted requests that have not been sent.
+/// Requests that were granted in advance, and have not been sent.
 #[derive(Default)]
 struct Reserve {
     left: u32,
@@ -196,6 +196,7 @@
 enum Step {
     Send,
     Skip,
+    /// Ask the owner of the limit for so many requests; it is told what is known of the limit.
     Ask(Notice, u32),
 }
 
