--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -33,8 +33,9 @@
 pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after a caller's deadline for which a record is kept.
 const RECORD_MARGIN: Duration = Duration::from_secs(5);
-/// Number of timeouts of its route that a stream may last in all.
-const MAX_TAKE_UPS: u32 = 3;
+/// Number of timeouts of its route that a stream may last in all, with its continuations.
+const MAX_STREAM_TIMEOUTS: u32 = 3;
+
 /// Records of the origins of streams that this gateway began or keeps for others.
 #[derive(Default)]
 pub(crate) struct Origins {
@@ -56,7 +57,7 @@
 /// Returns the time within which a stream that is taken up now can have begun, on a route with a timeout. A caller may
 /// take a stream up several times, for a request that it waits for longer than the route does.
 pub(crate) fn window(timeout: Duration) -> Duration {
-    MAX_TAKE_UPS * timeout + RECORD_MARGIN
+    MAX_STREAM_TIMEOUTS * timeout + RECORD_MARGIN
 }
 
 /// Returns the software version of a pool if it provably had no other within `window`.
