Gateway: log and count crashes of targets, with the requests that were lost

A connection that breaks proves no crash, so the gateway looks whether the address refuses connections afterwards, or whether another start of the target is listed. Nothing is decided by it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
+pub mod poison;
 pub mod rendezvous;
 pub mod retry;
 pub mod router;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use marigold_core::ids::{Name, Uptime};
+use marigold_core::poison::Suspect;
 use marigold_core::router::Candidate;
 use marigold_core::routes::{Customer, Repeat, Route};
 use marigold_core::targets::Target;
@@ -20,6 +21,7 @@
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
+use crate::crashes::{self, LostRun};
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits;
 use crate::response::Failure;
@@ -54,6 +56,11 @@
         &self.tracked.target.id
     }
 
+    /// Returns the target with its load.
+    pub(crate) fn tracked(&self) -> &Arc<TrackedTarget> {
+        &self.tracked
+    }
+
     /// Returns the start of the target.
     pub(crate) fn target_start(&self) -> &Target {
         &self.tracked.target
@@ -103,6 +110,8 @@
     /// End-to-end headers of the caller's request.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What may crash the targets that run the request.
+    pub(crate) suspects: Arc<[Suspect]>,
     pub(crate) arrived: Uptime,
     pub(crate) deadline: Uptime,
     /// Number of attempts in which the request ran or may have run.
@@ -321,6 +330,7 @@
                 Err(err) => {
                     let sent = sent(connection);
                     sent.on_failure();
+                    self.on_break(&sent, false);
                     tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
                     if self.start_retry("no_reply") {
                         continue;
@@ -361,6 +371,12 @@
         }
     }
 
+    /// Records that the connection broke before the request had an answer; `has_begun` is set after the head of the reply.
+    pub(crate) fn on_break(&self, sent: &SentRequest, has_begun: bool) {
+        let lost = LostRun { suspects: self.suspects.clone(), has_begun };
+        crashes::on_break(&self.shared, &sent.tracked, Some(lost));
+    }
+
     fn no_target_failure(&self) -> Failure {
         if self.runs > 0 {
             return Failure::new(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod batcher;
+mod crashes;
 pub mod dialect;
 mod discovery;
 pub mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     pub(crate) limit_age: Gauge<f64>,
     pub(crate) limit_asks: Counter<u64>,
     pub(crate) limit_refusals: Counter<u64>,
+    pub(crate) target_crashes: Counter<u64>,
 }
 
 impl Metrics {
@@ -91,6 +92,10 @@
                 "marigold_limit_refusals",
                 "Requests refused because of the limits of targets, by pool",
             ),
+            target_crashes: counter(
+                "marigold_target_crashes",
+                "Crashes of targets that ran requests of this gateway, by pool",
+            ),
             store_era: meter
                 .u64_gauge("marigold_store_era")
                 .with_description("Number of times that the store was restored from an older copy")
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::attempts::{Attempts, SentRequest};
+use crate::crashes;
 use crate::dialect::Dialect;
 use crate::request::RequestGuard;
 use crate::response::{Aborted, Chunk};
@@ -68,6 +69,11 @@
         self.sent.target_start()
     }
 
+    /// Returns the request that was sent to the target.
+    pub(crate) fn sent(&self) -> &SentRequest {
+        &self.sent
+    }
+
     /// Returns the time at which the request was sent to the target.
     pub(crate) fn sent_at(&self) -> Uptime {
         self.sent.sent_at()
@@ -150,6 +156,7 @@
             StreamItem::End => return "whole",
             StreamItem::Broken(reason) => {
                 stream.on_failure();
+                crashes::on_break(&attempts.shared, stream.sent().tracked(), None);
                 let last_event = stream.last_event();
                 tracing::warn!(
                     request = attempts.request(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use marigold_core::ids::Uptime;
+use marigold_core::poison;
 use marigold_core::routes::{self, Customer, Limits, Refusal, Repeat, Route};
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -161,6 +162,7 @@
     let body = read_body(parts, body, &adopted.routing.limits, timeout).await?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
+    let suspects = poison::suspects(&head.prompt_parts).into();
     Ok(Attempts {
         shared: shared.clone(),
         adopted,
@@ -172,6 +174,7 @@
         uri: parts.uri.clone(),
         headers: attempts::end_to_end_headers(&parts.headers),
         body,
+        suspects,
         arrived: guard.arrived,
         deadline,
         runs: 0,
@@ -327,7 +330,7 @@
         let response = if is_stream {
             start_stream(attempts, reply).await
         } else {
-            read_full(&attempts.shared, reply).await
+            read_full(attempts, reply).await
         };
         match response {
             Ok(response) => {
@@ -384,15 +387,16 @@
 }
 
 async fn read_full<D: Dialect, S: Store>(
-    shared: &Shared<D, S>,
+    attempts: &Attempts<D, S>,
     reply: Reply,
 ) -> Result<TargetResponse, String> {
     let Reply { sent, response, .. } = reply;
     let (parts, body) = response.into_parts();
-    let body = match gather(shared, body).await {
+    let body = match gather(&attempts.shared, body).await {
         Ok(body) => body,
         Err(err) => {
             sent.on_failure();
+            attempts.on_break(&sent, true);
             return Err(err);
         }
     };
@@ -425,6 +429,7 @@
         StreamItem::End => Ok(TargetResponse::Stream { head, first_events: None, stream }),
         StreamItem::Broken(reason) => {
             stream.on_failure();
+            attempts.on_break(stream.sent(), true);
             Err(reason)
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::batcher::Batcher;
+use crate::crashes::Crashes;
 use crate::dialect::Dialect;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
@@ -55,6 +56,7 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) targets: TargetTable,
     pub(crate) limits: Limits,
+    pub(crate) crashes: Crashes,
     pub(crate) members: Members,
     pub(crate) origins: Origins,
     pub(crate) batcher: Batcher,
@@ -104,6 +106,7 @@
             freshness: Mutex::default(),
             targets: TargetTable::default(),
             limits: Limits::default(),
+            crashes: Crashes::default(),
             members,
             origins: Origins::default(),
             batcher: Batcher::default(),
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 
 /// A target and the estimate of its load.
+#[derive(Debug)]
 pub(crate) struct TrackedTarget {
     pub(crate) target: Target,
     pub(crate) load: Load,
@@ -92,6 +93,15 @@
         self.list.lock().all().any(|target| origin.is_doubted_by(target))
     }
 
+    /// Returns whether another start of a target is listed at its address, or a later one under its id.
+    pub(crate) fn is_replaced(&self, target: &Target) -> bool {
+        let is_other = |listed: &Target| {
+            let is_later = listed.id == target.id && listed.started_at_ms > target.started_at_ms;
+            is_later || (listed.id != target.id && listed.addr == target.addr)
+        };
+        self.list.lock().all().any(is_other)
+    }
+
     /// Returns whether a target with this id and start accepts requests.
     pub(crate) fn has_start(&self, id: &str, started_at_ms: u64) -> bool {
         let pools = self.pools.load();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -123,6 +123,12 @@
     }
 }
 
+/// Returns whether an address refuses connections, so that no process listens there.
+pub(crate) async fn is_refused(peer: SocketAddr) -> bool {
+    let opened = time::timeout(OPEN_TIMEOUT, TcpStream::connect(peer)).await;
+    matches!(opened, Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// Pool of reused connections to one address, for calls that this process makes itself.
 pub struct Client {
     peer: SocketAddr,
