--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -10,11 +10,36 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
 use tokio::time;
 
 /// Largest head of a request, with its request line and headers.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time for which a replica that crashed is gone.
+pub const RESTART_DELAY: Duration = Duration::from_millis(2_500);
+/// Interval at which a restarted replica tries to bind its address.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What crashes each replica that runs a request with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Poison {
+    /// A part of the prompt, but the last one; the replica crashes within the first event of its answer.
+    PromptPart(String),
+}
+
+impl Poison {
+    fn is_in(&self, run: &Run) -> bool {
+        match self {
+            Self::PromptPart(part) => {
+                let prefix = run.headers.get("prompt-prefix").map_or("", String::as_str);
+                let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
+                shared.split(',').any(|entry| entry.split(':').next() == Some(part))
+            }
+        }
+    }
+}
+
 /// Fault injected into one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -92,6 +117,11 @@
 
 #[derive(Default)]
 struct State {
+    /// ID of the replica, a new one after each crash; none while it is gone.
+    id: watch::Sender<Option<String>>,
+    poisons: Mutex<Vec<Poison>>,
+    crash: Notify,
+    crashes: Mutex<Vec<Instant>>,
     faults: Mutex<VecDeque<Fault>>,
     runs: Mutex<Vec<Run>>,
     arrivals: Mutex<Vec<Arrival>>,
@@ -139,24 +169,8 @@
             TcpListener::from_std(listener).expect("the listener is registered with the runtime");
         let addr = listener.local_addr().expect("a bound listener has an address");
         let state = Arc::new(State::default());
-        let shared =
-            (state.clone(), Arc::new(options.clone()), Arc::new(tokio::sync::Mutex::new(())));
-        let task = tokio::spawn(async move {
-            let mut connections = tokio::task::JoinSet::new();
-            loop {
-                tokio::select! {
-                    accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                        let (state, options, stage_call_lock) = shared.clone();
-                        connections.spawn(async move {
-                            let served = Connection { stream, addr, state, options, stage_call_lock }.serve().await;
-                            // A caller that disconnects is not a failure of the replica.
-                            drop(served);
-                        });
-                    },
-                    Some(_) = connections.join_next() => {}
-                }
-            }
-        });
+        state.id.send_replace(Some(options.id.clone()));
+        let task = tokio::spawn(run(listener, state.clone(), Arc::new(options.clone())));
         Replica { options, addr, state, task }
     }
 
@@ -165,6 +179,26 @@
         self.addr
     }
 
+    /// Returns the ID of the replica, which is another one after each crash, and its changes; none while it is gone.
+    pub fn id(&self) -> watch::Receiver<Option<String>> {
+        self.state.id.subscribe()
+    }
+
+    /// Crashes the replica: all its connections break, and it is back at its address after [`RESTART_DELAY`].
+    pub fn crash(&self) {
+        self.state.crash.notify_one();
+    }
+
+    /// Sets what crashes the replica.
+    pub fn set_poisons(&self, poisons: &[Poison]) {
+        *self.state.poisons.lock() = poisons.to_vec();
+    }
+
+    /// Returns the times of the crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.crashes.lock().clone()
+    }
+
     /// Queues faults, each of which affects one of the next requests.
     pub fn add_faults(&self, faults: impl IntoIterator<Item = Fault>) {
         self.state.faults.lock().extend(faults);
@@ -205,9 +239,48 @@
     }
 }
 
+/// Serves the connections of a listener, and starts again after each crash.
+async fn run(mut listener: TcpListener, state: Arc<State>, options: Arc<Options>) {
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    for restarts in 1.. {
+        let stage_call_lock = Arc::<tokio::sync::Mutex<()>>::default();
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                    let (state, options) = (state.clone(), options.clone());
+                    let id = state.id.borrow().clone().unwrap_or_default();
+                    let stage_call_lock = stage_call_lock.clone();
+                    connections.spawn(async move {
+                        let connection = Connection { stream, addr, id, state, options, stage_call_lock };
+                        // A caller that disconnects is not a failure of the replica.
+                        drop(connection.serve().await);
+                    });
+                },
+                Some(_) = connections.join_next() => {}
+                () = state.crash.notified() => break,
+            }
+        }
+        drop(listener);
+        connections.shutdown().await;
+        state.crashes.lock().push(Instant::now());
+        state.id.send_replace(None);
+        time::sleep(RESTART_DELAY).await;
+        listener = loop {
+            match TcpListener::bind(addr).await {
+                Ok(listener) => break listener,
+                Err(_) => time::sleep(BIND_RETRY_INTERVAL).await,
+            }
+        };
+        state.id.send_replace(Some(format!("{}-{restarts}", options.id)));
+    }
+}
+
 struct Connection {
     stream: TcpStream,
     addr: SocketAddr,
+    /// ID that the replica had when the connection was opened.
+    id: String,
     state: Arc<State>,
     options: Arc<Options>,
     /// Held while a stage call runs, so that one runs at a time.
@@ -232,8 +305,8 @@
                 request_line: run.request_line.clone(),
             });
             let expected = run.headers.get("expect-instance").map_or("", String::as_str);
-            if expected != self.options.id {
-                self.respond(421, &[("Instance-Id", &self.options.id.clone())], b"").await?;
+            if expected != self.id {
+                self.respond(421, &[("Instance-Id", &self.id.clone())], b"").await?;
                 continue;
             }
             match run.request_line.as_str() {
@@ -360,12 +433,20 @@
             if fault == Some(Fault::WrongAttemptId) { "other" } else { run.request.as_str() };
         let mut headers = vec![("Attempt-Id", attempt)];
         if fault != Some(Fault::Unsigned) {
-            headers.push(("Replica-Seal", self.options.id.as_str()));
+            headers.push(("Replica-Seal", self.id.as_str()));
         }
         let headers: Vec<(String, String)> =
             headers.into_iter().map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
         let headers: Vec<(&str, &str)> =
             headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+        let is_poisoned = self.state.poisons.lock().iter().any(|poison| poison.is_in(&run));
+        if is_poisoned {
+            time::sleep(self.options.response_delay).await;
+            let head = self.stream_head(&headers);
+            self.stream.write_all(format!("{head}8\r\nid: 1\nda\r\n").as_bytes()).await?;
+            self.state.crash.notify_one();
+            return std::future::pending().await;
+        }
         if run.request_line.contains("/stream/") {
             return self.stream_events(&run, &headers, fault == Some(Fault::Truncated)).await;
         }
@@ -392,12 +473,7 @@
         }
     }
 
-    async fn stream_events(
-        &mut self,
-        run: &Run,
-        headers: &[(&str, &str)],
-        is_truncated: bool,
-    ) -> std::io::Result<()> {
+    fn stream_head(&self, headers: &[(&str, &str)]) -> String {
         let mut head =
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                 .to_owned();
@@ -405,7 +481,17 @@
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         head.push_str(&self.limit_header());
-        self.stream.write_all(format!("{head}\r\n").as_bytes()).await?;
+        format!("{head}\r\n")
+    }
+
+    async fn stream_events(
+        &mut self,
+        run: &Run,
+        headers: &[(&str, &str)],
+        is_truncated: bool,
+    ) -> std::io::Result<()> {
+        let head = self.stream_head(headers);
+        self.stream.write_all(head.as_bytes()).await?;
         let after = run.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in after + 1..=self.options.events {
             let mut buf = [0; 1];
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -9,8 +9,9 @@
 use marigold_objects::{Expect, Store as _};
 use marigold_process::http::Server;
 use marigold_standin::platform::{self, Platform};
-use marigold_standin::replica::{Options, Replica};
+use marigold_standin::replica::{Options, Poison, Replica};
 use serde_json::{Value, json};
+use tokio::sync::watch;
 
 use crate::process::{self, Process};
 use crate::relay::Relay;
@@ -25,6 +26,12 @@
 /// Software version of the replicas.
 const DEFAULT_VERSION: &str = "v1";
 
+/// Time after a crash of a replica after which its entry expires: three heartbeats.
+const EXPIRY: Duration = Duration::from_millis(1_200);
+
+/// Objects in the store by kind and name; `None` after a removal.
+type Written = BTreeMap<(String, String), Option<Value>>;
+
 /// A gateway process.
 pub struct Gateway {
     /// Process of the gateway.
@@ -61,7 +68,9 @@
     /// Starts of the replicas of the pool `app`, as numbers.
     replica_starts: Vec<u64>,
     /// What the operator and the replicas wrote last, by kind and name; `None` after a removal.
-    written: Mutex<BTreeMap<(String, String), Option<Value>>>,
+    written: Arc<Mutex<Written>>,
+    /// Tasks that keep the entries of replicas that crash.
+    entry_keepers: tokio::task::JoinSet<()>,
     store_addr: SocketAddr,
     _server: Server,
 }
@@ -101,14 +110,19 @@
             version: 0,
             replica_versions: vec![DEFAULT_VERSION.to_owned(); replicas],
             replica_starts: vec![1; replicas],
-            written: Mutex::default(),
+            written: Arc::default(),
+            entry_keepers: tokio::task::JoinSet::new(),
             store_addr: addr,
             _server: server,
         };
         cluster.configure(&[API_KEY]).await;
         for number in 0..replicas {
             let replica = spawn_replica(&format!("app-{number}"));
-            cluster.replica_relays.push(Relay::spawn(replica.addr()).await);
+            let relay = Relay::spawn(replica.addr()).await;
+            let (platform, written) = (cluster.platform.clone(), cluster.written.clone());
+            let keeper = keep_entry(replica.id(), relay.clone(), platform, written);
+            cluster.entry_keepers.spawn(keeper);
+            cluster.replica_relays.push(relay);
             cluster.replicas.push(replica);
             cluster.set_replica_state(number, "ready").await;
             let stage_replica = spawn_replica(&format!("stage-{number}"));
@@ -171,10 +185,21 @@
     }
 
     async fn put(&self, kind: &str, name: &str, value: &Value) {
-        let key = (kind.to_owned(), name.to_owned());
-        self.written.lock().expect("no panic under the lock").insert(key, Some(value.clone()));
-        let written = self.platform.store.put(kind, name, value.to_string(), Expect::Any).await;
-        written.expect("the in-memory store accepts a small object");
+        put(&self.platform, &self.written, kind, name, value).await;
+    }
+
+    /// Sets what crashes the replicas of the pool `app`.
+    pub fn set_poisons(&self, poisons: &[Poison]) {
+        for replica in &self.replicas {
+            replica.set_poisons(poisons);
+        }
+    }
+
+    /// Returns the times of all crashes of replicas of the pool `app`, in their order.
+    pub fn crashes(&self) -> Vec<Instant> {
+        let mut crashes: Vec<Instant> = self.replicas.iter().flat_map(Replica::crashes).collect();
+        crashes.sort_unstable();
+        crashes
     }
 
     /// Publishes a replica of the pool `app` with a state.
@@ -182,7 +207,8 @@
         let version = &self.replica_versions[number];
         let mut spec = server_spec("app", self.replica_relays[number].addr(), version, state);
         spec["born"] = json!(self.replica_starts[number]);
-        self.put("servers", &self.replicas[number].options.id, &spec).await;
+        let id = self.replicas[number].id().borrow().clone();
+        self.put("servers", &id.unwrap_or_default(), &spec).await;
     }
 
     /// Publishes another start of a replica of the pool `app` under its id, with a software version.
@@ -203,11 +229,8 @@
 
     /// Removes the entry of a replica of the pool `app`.
     pub async fn remove_replica(&self, number: usize) {
-        let id = self.replicas[number].options.id.clone();
-        let removed = self.platform.store.delete("servers", &id);
-        let key = ("servers".to_owned(), id.clone());
-        self.written.lock().expect("no panic under the lock").insert(key, None);
-        removed.await.expect("the in-memory store accepts a removal");
+        let id = self.replicas[number].id().borrow().clone();
+        remove(&self.platform, &self.written, "servers", &id.unwrap_or_default()).await;
     }
 
     /// Starts another gateway and waits until it is ready.
@@ -323,6 +346,49 @@
     }
 }
 
+async fn put(platform: &Platform, written: &Mutex<Written>, kind: &str, name: &str, value: &Value) {
+    let key = (kind.to_owned(), name.to_owned());
+    written.lock().expect("no panic under the lock").insert(key, Some(value.clone()));
+    let put = platform.store.put(kind, name, value.to_string(), Expect::Any).await;
+    put.expect("the in-memory store accepts a small object");
+}
+
+async fn remove(platform: &Platform, written: &Mutex<Written>, kind: &str, name: &str) {
+    let key = (kind.to_owned(), name.to_owned());
+    written.lock().expect("no panic under the lock").insert(key, None);
+    let removed = platform.store.delete(kind, name).await;
+    removed.expect("the in-memory store accepts a removal");
+}
+
+/// Takes the relay of a replica down while the replica is gone after a crash, lets the entry in the store expire, and
+/// writes one for the ID under which the replica comes back.
+async fn keep_entry(
+    mut id: watch::Receiver<Option<String>>,
+    relay: Relay,
+    platform: Arc<Platform>,
+    written: Arc<Mutex<Written>>,
+) {
+    loop {
+        let Some(gone) = id.borrow_and_update().clone() else { return };
+        if id.wait_for(Option::is_none).await.is_err() {
+            return;
+        }
+        relay.set_down(true);
+        tokio::time::sleep(EXPIRY).await;
+        let key = ("servers".to_owned(), gone.clone());
+        let entry = written.lock().expect("no panic under the lock").get(&key).cloned().flatten();
+        remove(&platform, &written, "servers", &gone).await;
+        let back = match id.wait_for(Option::is_some).await {
+            Ok(back) => back.clone().unwrap_or_default(),
+            Err(_) => return,
+        };
+        relay.set_down(false);
+        if let Some(entry) = entry {
+            put(&platform, &written, "servers", &back, &entry).await;
+        }
+    }
+}
+
 fn spawn_replica(id: &str) -> Replica {
     let options = Options {
         id: id.to_owned(),
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -12,6 +12,9 @@
 
 use crate::process;
 
+/// Interval at which a relay that is to listen again tries to bind its address.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Directions of a connection in which the relay drops all bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
@@ -32,6 +35,8 @@
     /// Serial of the next connection.
     next_serial: AtomicU64,
     refuses_connections: AtomicBool,
+    /// Whether the relay does not listen, so that the kernel refuses connections.
+    is_down: watch::Sender<bool>,
     /// Connections with a lower serial are closed.
     close_before: watch::Sender<u64>,
     /// Delay of each chunk read, in milliseconds.
@@ -39,6 +44,7 @@
 }
 
 /// A relay in front of one server address.
+#[derive(Clone)]
 pub struct Relay {
     addr: SocketAddr,
     control: Arc<Control>,
@@ -55,21 +61,34 @@
         let control = Arc::new(Control::default());
         let shared = control.clone();
         tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                if shared.refuses_connections.load(Ordering::SeqCst) {
-                    continue;
+            let mut is_down = shared.is_down.subscribe();
+            let mut listener = listener;
+            loop {
+                tokio::select! {
+                    () = accept_forever(&listener, server_addr, &shared) => return,
+                    _ = is_down.wait_for(|is_down| *is_down) => {}
                 }
-                let control = shared.clone();
-                tokio::spawn(async move {
-                    if let Ok(server) = TcpStream::connect(server_addr).await {
-                        forward(client, server, control);
+                drop(listener);
+                let _ = is_down.wait_for(|is_down| !*is_down).await;
+                listener = loop {
+                    match TcpListener::bind(addr).await {
+                        Ok(listener) => break listener,
+                        Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
                     }
-                });
+                };
             }
         });
         Relay { addr, control }
     }
 
+    /// Closes all connections and stops to listen, as the host of a server whose process has ended, or listens again.
+    pub fn set_down(&self, is_down: bool) {
+        self.control.is_down.send_replace(is_down);
+        if is_down {
+            self.close_connections();
+        }
+    }
+
     /// Returns the address for clients.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -105,6 +124,20 @@
     }
 }
 
+async fn accept_forever(listener: &TcpListener, server_addr: SocketAddr, control: &Arc<Control>) {
+    while let Ok((client, _)) = listener.accept().await {
+        if control.refuses_connections.load(Ordering::SeqCst) {
+            continue;
+        }
+        let control = control.clone();
+        tokio::spawn(async move {
+            if let Ok(server) = TcpStream::connect(server_addr).await {
+                forward(client, server, control);
+            }
+        });
+    }
+}
+
 fn forward(client: TcpStream, server: TcpStream, control: Arc<Control>) {
     let serial = control.next_serial.fetch_add(1, Ordering::SeqCst);
     let _ = client.set_nodelay(true);
