--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -190,6 +190,10 @@
             | Request::ReadStoreService
             | Request::RecordOrigin(_)
             | Request::ReadOrigin(_)
+            | Request::ReportCrash(_)
+            | Request::ReadAnswers(_)
+            | Request::SyncQuarantines(_)
+            | Request::AskProbe(_)
             | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an agent does not serve this".to_owned())).await?
             }
--- /dev/null
+++ b/crates/core/src/poison/judge.rs
@@ -0,0 +1,314 @@
+//! Finds what the crashes of a pool's targets have in common.
+//!
+//! A suspect is the cause if its requests were lost to several crashes and none of them was answered in between. Others
+//! that were lost to the same crashes only happened to run there: the suspect with the most crashes within its answers
+//! comes first, and the crashes that it explains do not count against others.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use marigold_schema::messages;
+
+use super::Suspect;
+use super::answers::Answer;
+use crate::ids::{Name, SoftwareVersion, Uptime};
+
+/// Number of crashes after which a suspect is the cause, if it was in most crashes since its first one and an answer
+/// with it had begun. Gateways may be told of one crash too few, and the fifth should be the last.
+const LIKELY_CRASHES: usize = 4;
+/// Share of the crashes since its first one that such a suspect was in.
+const MIN_SHARE: f64 = 0.4;
+/// Number of crashes after which a suspect is the cause in any case.
+const CERTAIN_CRASHES: usize = 6;
+/// Time around a crash with a known cause in which others may have it too, although no gateway reported that.
+const SAME_CAUSE_TIME: Duration = Duration::from_secs(2);
+/// Number of crashes from which a suspect is worth a question for its answers.
+const MIN_CRASHES: usize = 2;
+/// Crashes within so short a time may have one cause beside all requests, such as the loss of a data centre.
+const MIN_SEPARATION: Duration = Duration::from_millis(100);
+/// Time for which crashes are remembered.
+const EVIDENCE_WINDOW: Duration = Duration::from_secs(2 * 3_600);
+/// Maximum number of crashes that are remembered.
+const MAX_CRASHES: usize = 128;
+/// Maximum number of requests of one crash, and of their suspects in all, that are remembered.
+const MAX_RUNS: usize = 256;
+const MAX_SUSPECTS: usize = 2_048;
+/// Maximum number of suspects that are asked for at a time.
+const MAX_ASKED: usize = 32;
+
+/// A request that was lost to a crash.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LostRun {
+    /// Its suspects, in ascending order.
+    pub suspects: Vec<Suspect>,
+    /// Whether the target had begun its answer.
+    pub has_begun: bool,
+}
+
+impl From<messages::LostRun> for LostRun {
+    fn from(wire: messages::LostRun) -> Self {
+        Self { suspects: wire.suspects, has_begun: wire.has_begun }
+    }
+}
+
+/// What one gateway lost to the crash of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// Id of the target.
+    pub target: Name,
+    /// Start of the target in milliseconds since the Unix epoch. A start crashes once, however many gateways report it.
+    pub started_at_ms: u64,
+    /// Version of its software.
+    pub version: SoftwareVersion,
+    /// When it crashed.
+    pub at: Uptime,
+    /// Requests without an answer.
+    pub runs: Vec<LostRun>,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    target: Name,
+    started_at_ms: u64,
+    version: SoftwareVersion,
+    at: Uptime,
+    runs: BTreeSet<LostRun>,
+}
+
+impl Crash {
+    /// Returns whether a suspect ran, or `None` if it did not; the value tells whether an answer with it had begun.
+    fn find(&self, suspect: &Suspect) -> Option<bool> {
+        let runs = self.runs.iter().filter(|run| run.suspects.binary_search(suspect).is_ok());
+        runs.map(|run| run.has_begun).max()
+    }
+
+    /// As [`Self::find`], for a request that has all of `suspects`.
+    fn find_all(&self, suspects: &BTreeSet<Suspect>) -> Option<bool> {
+        let has_all = |run: &&LostRun| {
+            suspects.iter().all(|suspect| run.suspects.binary_search(suspect).is_ok())
+        };
+        self.runs.iter().filter(has_all).map(|run| run.has_begun).max()
+    }
+
+    /// Returns whether one of `blamed` explains the crash as well as a suspect whose answer had begun or not.
+    fn is_explained(&self, has_begun: bool, blamed: &[Verdict]) -> bool {
+        let is_near = |at: &Uptime| at.abs_diff(self.at) <= SAME_CAUSE_TIME;
+        blamed.iter().any(|verdict| {
+            self.find_all(&verdict.suspects) >= Some(has_begun)
+                || (!has_begun && verdict.times.iter().any(is_near))
+        })
+    }
+}
+
+/// What crashes the targets of a pool: a request that has all of `suspects`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The cause, and what was in each of its requests as well.
+    pub suspects: BTreeSet<Suspect>,
+    /// When the targets crashed, in ascending order.
+    pub times: Vec<Uptime>,
+    /// Software versions of these targets.
+    pub versions: BTreeSet<SoftwareVersion>,
+}
+
+/// Evidence of the crashes of one pool.
+#[derive(Debug, Default)]
+pub struct Judge {
+    crashes: VecDeque<Crash>,
+    answers: HashMap<(Suspect, SoftwareVersion), Uptime>,
+}
+
+impl Judge {
+    /// Adds what a gateway lost to a crash; returns whether anything of it is new.
+    pub fn record(&mut self, evidence: Evidence, now: Uptime) -> bool {
+        while self.crashes.front().is_some_and(|crash| crash.at + EVIDENCE_WINDOW < now) {
+            self.crashes.pop_front();
+        }
+        let Evidence { target, started_at_ms, version, at, runs } = evidence;
+        let known = self
+            .crashes
+            .iter()
+            .position(|crash| crash.target == target && crash.started_at_ms == started_at_ms);
+        let index = known.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.pop_front();
+            }
+            let runs = BTreeSet::new();
+            self.crashes.push_back(Crash { target, started_at_ms, version, at, runs });
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[index];
+        crash.at = crash.at.min(at);
+        let before = crash.runs.len();
+        let mut suspects: usize = crash.runs.iter().map(|run| run.suspects.len()).sum();
+        for mut run in runs {
+            run.suspects.sort_unstable();
+            suspects += run.suspects.len();
+            if crash.runs.len() < MAX_RUNS && suspects <= MAX_SUSPECTS {
+                crash.runs.insert(run);
+            }
+        }
+        let is_changed = known.is_none() || crash.runs.len() > before;
+        self.crashes.make_contiguous().sort_by_key(|crash| crash.at);
+        self.remove_unused_answers();
+        is_changed
+    }
+
+    fn remove_unused_answers(&mut self) {
+        let first = self.crashes.front().map_or(Uptime::ZERO, |crash| crash.at);
+        self.answers.retain(|_, at| *at >= first);
+    }
+
+    /// Records that a target began an answer to a request with a suspect.
+    pub fn record_answer(&mut self, answer: Answer) {
+        let last = self.answers.entry((answer.suspect, answer.version)).or_default();
+        *last = answer.at.max(*last);
+    }
+
+    /// Returns the suspects whose answers decide, those with the most crashes first.
+    pub fn suspects_to_ask(&self) -> Vec<Suspect> {
+        let mut suspects: Vec<(usize, &Suspect)> = self
+            .all_suspects()
+            .into_iter()
+            .map(|suspect| (self.charges(suspect, &[]).separated(), suspect))
+            .filter(|(crashes, _)| *crashes >= MIN_CRASHES)
+            .collect();
+        suspects.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(b.1)));
+        suspects.into_iter().take(MAX_ASKED).map(|(_, suspect)| suspect.clone()).collect()
+    }
+
+    fn all_suspects(&self) -> BTreeSet<&Suspect> {
+        let runs = self.crashes.iter().flat_map(|crash| &crash.runs);
+        runs.flat_map(|run| &run.suspects).collect()
+    }
+
+    /// Returns the crashes that speak against a suspect: those to which requests with it were lost, after the last
+    /// answer to such a request, unless one of `blamed` explains them.
+    fn charges(&self, suspect: &Suspect, blamed: &[Verdict]) -> Charges<'_> {
+        let mut answered: BTreeMap<&str, Uptime> = BTreeMap::new();
+        let mut charges = Charges::default();
+        for crash in &self.crashes {
+            let Some(has_begun) = crash.find(suspect) else { continue };
+            let last_answer = *answered.entry(&crash.version).or_insert_with(|| {
+                let key = (suspect.clone(), crash.version.clone());
+                self.answers.get(&key).copied().unwrap_or_default()
+            });
+            if last_answer < crash.at && !crash.is_explained(has_begun, blamed) {
+                charges.crashes.push(crash);
+                charges.begun += usize::from(has_begun);
+            }
+        }
+        charges
+    }
+
+    /// Returns what has caused the crashes, as far as it is certain. Only suspects in `asked` are blamed: all gateways
+    /// were asked for answers to requests with them after the last crash.
+    pub fn verdicts(&self, asked: &[Suspect]) -> Vec<Verdict> {
+        let mut verdicts: Vec<Verdict> = Vec::new();
+        loop {
+            let guilty = asked
+                .iter()
+                .map(|suspect| (suspect, self.charges(suspect, &verdicts)))
+                .filter(|(_, charges)| self.is_certain(charges, &verdicts))
+                .max_by(|(a, charges), (b, others)| {
+                    charges.weight().cmp(&others.weight()).then(b.cmp(a))
+                });
+            let Some((suspect, charges)) = guilty else { return verdicts };
+            let suspects = self.companions(suspect, &charges, asked);
+            let versions = charges.crashes.iter().map(|crash| crash.version.clone()).collect();
+            let times = charges.crashes.iter().map(|crash| crash.at).collect();
+            verdicts.push(Verdict { suspects, times, versions });
+        }
+    }
+
+    fn is_certain(&self, charges: &Charges<'_>, blamed: &[Verdict]) -> bool {
+        let count = charges.separated();
+        if count >= CERTAIN_CRASHES {
+            return true;
+        }
+        let (Some(first), Some(last)) = (charges.crashes.first(), charges.crashes.last()) else {
+            return false;
+        };
+        let is_open = |crash: &&Crash| {
+            (first.at..=last.at).contains(&crash.at) && !crash.is_explained(true, blamed)
+        };
+        let open = self.crashes.iter().filter(is_open).count();
+        let share = charges.crashes.len() as f64 / open.max(1) as f64;
+        count >= LIKELY_CRASHES && charges.begun > 0 && share >= MIN_SHARE
+    }
+
+    /// Returns whether requests with all of `suspects` were blamed before, and `verdicts` show that the crashes have other
+    /// causes. Two causes that come with one sound part may blame that one first.
+    pub fn is_refuted(&self, suspects: &BTreeSet<Suspect>, verdicts: &[Verdict]) -> bool {
+        if verdicts.iter().any(|verdict| verdict.suspects == *suspects) {
+            return false;
+        }
+        let charges = self.crashes.iter().filter(|crash| crash.find_all(suspects).is_some());
+        let is_open = |crash: &&Crash| !crash.is_explained(true, verdicts);
+        let (open, explained): (Vec<&Crash>, Vec<&Crash>) = charges.partition(is_open);
+        !explained.is_empty() && open.len() < LIKELY_CRASHES
+    }
+
+    /// Returns a suspect with all others that were in each of its requests and have no answer either. Which of them is
+    /// the cause is not known, so only requests with all of them are to be refused.
+    fn companions(
+        &self,
+        suspect: &Suspect,
+        charges: &Charges<'_>,
+        asked: &[Suspect],
+    ) -> BTreeSet<Suspect> {
+        let is_unanswered = |other: &Suspect, crash: &Crash| {
+            let key = (other.clone(), crash.version.clone());
+            self.answers.get(&key).is_none_or(|at| *at < crash.at)
+        };
+        let mut suspects = BTreeSet::from([suspect.clone()]);
+        for other in asked {
+            let mut wider = suspects.clone();
+            wider.insert(other.clone());
+            let is_in_all = charges.crashes.iter().all(|crash| {
+                crash.find_all(&wider) >= crash.find(suspect) && is_unanswered(other, crash)
+            });
+            if is_in_all {
+                suspects = wider;
+            }
+        }
+        suspects
+    }
+
+    /// Returns the number of crashes that are remembered.
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns whether no crash is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+}
+
+/// Crashes that speak against a suspect, in the order of their times.
+#[derive(Default)]
+struct Charges<'a> {
+    crashes: Vec<&'a Crash>,
+    /// Number of crashes in which an answer with the suspect had begun.
+    begun: usize,
+}
+
+impl Charges<'_> {
+    /// Returns the number of crashes, where those within [`MIN_SEPARATION`] count as one.
+    fn separated(&self) -> usize {
+        let mut last: Option<Uptime> = None;
+        let mut count = 0;
+        for crash in &self.crashes {
+            if last.is_none_or(|last| crash.at >= last + MIN_SEPARATION) {
+                last = Some(crash.at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    fn weight(&self) -> (usize, usize) {
+        (self.begun, self.separated())
+    }
+}
--- /dev/null
+++ b/crates/core/tests/poison.rs
@@ -0,0 +1,391 @@
+//! Evidence of requests that crash targets, and quarantines.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use marigold_core::ids::Uptime;
+use marigold_core::poison;
+use marigold_core::poison::answers::{Answer, AnswerLog};
+use marigold_core::poison::judge::{Evidence, Judge, LostRun, Verdict};
+use marigold_core::poison::quarantine::{Entry, IDLE_TIME, Key, MAX_PROBES, Quarantines};
+
+fn secs(secs: u64) -> Uptime {
+    Duration::from_secs(secs)
+}
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn set(suspects: &[&str]) -> BTreeSet<String> {
+    names(suspects).into_iter().collect()
+}
+
+/// A run whose answer had begun.
+fn begun(suspects: &[&str]) -> LostRun {
+    LostRun { suspects: names(suspects), has_begun: true }
+}
+
+fn waiting(suspects: &[&str]) -> LostRun {
+    LostRun { suspects: names(suspects), has_begun: false }
+}
+
+/// What one gateway lost when a target crashed at a second; each second has another target.
+fn crash(at: u64, runs: &[LostRun]) -> Evidence {
+    Evidence {
+        target: format!("target-{at}"),
+        started_at_ms: 1,
+        version: "v1".to_owned(),
+        at: secs(at),
+        runs: runs.to_vec(),
+    }
+}
+
+fn answer(suspect: &str, version: &str, at: Uptime) -> Answer {
+    Answer { suspect: suspect.to_owned(), version: version.to_owned(), at }
+}
+
+fn judge(crashes: impl IntoIterator<Item = Evidence>) -> Judge {
+    let mut judge = Judge::default();
+    for evidence in crashes {
+        let now = evidence.at;
+        judge.record(evidence, now);
+    }
+    judge
+}
+
+fn blamed(judge: &Judge) -> Vec<BTreeSet<String>> {
+    let verdicts = judge.verdicts(&judge.suspects_to_ask());
+    verdicts.into_iter().map(|verdict| verdict.suspects).collect()
+}
+
+#[test]
+fn suspects_are_all_parts_but_the_last() {
+    assert_eq!(poison::suspects(&names(&["b", "a", "a", "own"])), ["part a", "part b"]);
+    assert!(poison::suspects(&names(&["own"])).is_empty());
+    assert!(poison::suspects(&[]).is_empty());
+    let long = "x".repeat(10_000);
+    assert!(poison::suspects(&[long, "own".to_owned()])[0].len() < 100);
+}
+
+/// A part of nearly all prompts runs in every crash; answers between the crashes show that it is sound.
+#[test]
+fn verdicts_name_the_part_without_answers() {
+    let run = |at: u64| [begun(&["bad", "system"]), waiting(&[&format!("s{at}"), "system"])];
+    let mut judge = judge((1..=4).map(|at| crash(at, &run(at))));
+    judge.record_answer(answer("system", "v1", Duration::from_millis(3_500)));
+    assert_eq!(blamed(&judge), [set(&["bad"])]);
+}
+
+#[test]
+fn verdicts_need_several_crashes() {
+    for crashes in 1..4 {
+        let judge = judge((1..=crashes).map(|at| crash(at, &[begun(&["bad"])])));
+        assert!(blamed(&judge).is_empty(), "after {crashes}");
+    }
+}
+
+/// Requests that wait at a target when it crashes are many and mostly sound.
+#[test]
+fn verdicts_need_more_crashes_without_a_begun_answer() {
+    for crashes in 1..=6 {
+        let judge = judge((1..=crashes).map(|at| crash(at, &[waiting(&["bad"])])));
+        assert_eq!(blamed(&judge).len(), usize::from(crashes == 6), "after {crashes}");
+    }
+}
+
+/// A rare part is in few of the crashes that happen while it is used.
+#[test]
+fn verdicts_need_more_crashes_among_many_others() {
+    for crashes in 1..=6 {
+        let others = (10..100).map(|at| crash(at, &[begun(&[&format!("s{at}")])]));
+        let judge = judge(others.chain((1..=crashes).map(|at| crash(at * 15, &[begun(&["bad"])]))));
+        assert_eq!(blamed(&judge).len(), usize::from(crashes == 6), "after {crashes}");
+    }
+}
+
+/// A gateway that is killed does not report the bad request that it lost.
+#[test]
+fn verdicts_do_not_blame_what_waited_near_crashes_with_a_known_cause() {
+    let known = (1..=4).map(|at| crash(at * 2, &[begun(&["bad"]), waiting(&["sound"])]));
+    let unreported = (1..=4).map(|at| crash(at * 2 + 1, &[waiting(&["sound"])]));
+    assert_eq!(blamed(&judge(known.chain(unreported))), [set(&["bad"])]);
+}
+
+/// One crash is one piece of evidence, however many gateways report it.
+#[test]
+fn verdicts_count_a_start_of_a_target_once() {
+    let mut judge = Judge::default();
+    for part in 0..10 {
+        judge.record(crash(1, &[begun(&["bad", &format!("p{part}")])]), secs(1));
+    }
+    assert_eq!(judge.len(), 1);
+    assert!(blamed(&judge).is_empty());
+}
+
+/// A gateway that reports again because the answer of the judge was lost adds nothing.
+#[test]
+fn record_tells_whether_evidence_is_new() {
+    let mut judge = Judge::default();
+    assert!(judge.record(crash(1, &[begun(&["bad"])]), secs(1)));
+    assert!(!judge.record(crash(1, &[begun(&["bad"])]), secs(1)));
+    assert!(judge.record(crash(1, &[waiting(&["other"])]), secs(1)));
+}
+
+/// The loss of a data centre ends many targets at once, with requests that have nothing to do with it.
+#[test]
+fn verdicts_count_crashes_at_one_time_once() {
+    let mut judge = Judge::default();
+    for number in 0..20_u64 {
+        let at = secs(1) + Duration::from_millis(number % 90);
+        let target = format!("target-{number}");
+        judge.record(Evidence { target, at, ..crash(1, &[begun(&["rare"])]) }, at);
+    }
+    assert!(blamed(&judge).is_empty());
+}
+
+#[test]
+fn answer_after_the_crashes_acquits() {
+    let mut judge = judge((1..=6).map(|at| crash(at, &[begun(&["part"])])));
+    judge.record_answer(answer("part", "v1", secs(7)));
+    assert!(blamed(&judge).is_empty());
+}
+
+/// A part that was sound for long may be bad at a new software version.
+#[test]
+fn answer_of_another_version_does_not_acquit() {
+    let mut judge = judge((1..=4).map(|at| crash(at, &[begun(&["part"])])));
+    judge.record_answer(answer("part", "v0", secs(7)));
+    assert_eq!(blamed(&judge), [set(&["part"])]);
+}
+
+#[test]
+fn crashes_after_an_answer_count() {
+    let mut judge = judge((1..=8).map(|at| crash(at, &[begun(&["part"])])));
+    judge.record_answer(answer("part", "v1", Duration::from_millis(4_500)));
+    assert_eq!(blamed(&judge), [set(&["part"])]);
+    judge.record_answer(answer("part", "v1", Duration::from_millis(5_500)));
+    assert!(blamed(&judge).is_empty());
+}
+
+/// A sound part that was lost to nearly all crashes, without an answer in between, is not the cause of them.
+#[test]
+fn verdicts_do_not_blame_what_others_explain() {
+    let run = |at: u64| match at {
+        5 => vec![begun(&["bad"])],
+        _ => vec![begun(&["bad"]), waiting(&["sound"])],
+    };
+    let judge = judge((1..=5).map(|at| crash(at, &run(at))));
+    assert_eq!(blamed(&judge), [set(&["bad"])]);
+}
+
+#[test]
+fn verdicts_find_two_bad_parts() {
+    // The second one waits while the first one crashes targets.
+    let first = (1..=5).map(|at| crash(at, &[begun(&["bad-1"]), waiting(&["bad-2"])]));
+    let second = (6..=9).map(|at| crash(at, &[begun(&["bad-2"]), waiting(&["bad-1"])]));
+    let judge = judge(first.chain(second));
+    assert_eq!(blamed(&judge), [set(&["bad-1"]), set(&["bad-2"])]);
+}
+
+/// Parts that always come together cannot be told apart, so that neither is refused without the other.
+#[test]
+fn verdicts_join_what_always_comes_together() {
+    let mut judge = judge((1..=4).map(|at| crash(at, &[begun(&["bad", "system"])])));
+    assert_eq!(blamed(&judge), [set(&["bad", "system"])]);
+    judge.record(crash(5, &[begun(&["bad"])]), secs(5));
+    assert_eq!(blamed(&judge), [set(&["bad"])]);
+}
+
+/// Two bad parts that come with a sound one may blame that one first, until each has crashes of its own.
+#[test]
+fn verdict_is_refuted_by_the_causes_that_are_found_later() {
+    let bad = |at: u64| format!("bad-{}", at % 2);
+    let with_sound = (1..=4).map(|at| crash(at, &[begun(&[&bad(at), "sound"])]));
+    let mut judge = judge(with_sound);
+    assert_eq!(blamed(&judge), [set(&["sound"])]);
+    for at in 5..=14 {
+        judge.record(crash(at, &[begun(&[&bad(at)])]), secs(at));
+    }
+    let verdicts = judge.verdicts(&judge.suspects_to_ask());
+    assert_eq!(verdicts.len(), 2);
+    assert!(judge.is_refuted(&set(&["sound"]), &verdicts));
+    assert!(!judge.is_refuted(&set(&["bad-0"]), &verdicts));
+    assert!(!judge.is_refuted(&set(&["unknown"]), &verdicts));
+    let now = secs(15);
+    let (mut quarantines, _) = quarantined(&["sound"], now);
+    let retracted = quarantines.retract("pool", |key| judge.is_refuted(key, &verdicts), now);
+    assert_eq!(retracted.len(), 1);
+    assert!(quarantines.find("pool", &names(&["sound"]), now).is_none());
+}
+
+/// Parts of different requests are never joined, since no request has both.
+#[test]
+fn verdicts_do_not_join_parts_of_different_requests() {
+    let judge = judge((1..=4).map(|at| crash(at, &[begun(&["bad"]), waiting(&["sound"])])));
+    assert_eq!(blamed(&judge), [set(&["bad"])]);
+}
+
+#[test]
+fn verdicts_blame_only_what_was_asked_for() {
+    let judge = judge((1..=4).map(|at| crash(at, &[begun(&["bad"])])));
+    assert!(judge.verdicts(&[]).is_empty());
+}
+
+#[test]
+fn judge_forgets_old_crashes_and_bounds_the_rest() {
+    let mut judge = judge((1..=4).map(|at| crash(at, &[begun(&["bad"])])));
+    let much_later = 3 * 3_600;
+    judge.record(crash(much_later, &[begun(&["bad"])]), secs(much_later));
+    assert_eq!(judge.len(), 1);
+    for at in much_later..much_later + 1_000 {
+        judge.record(crash(at, &[begun(&["bad"])]), secs(at));
+    }
+    assert!(judge.len() <= 128);
+}
+
+#[test]
+fn answer_log_keeps_the_last_answer_of_each_version() {
+    let mut log = AnswerLog::default();
+    log.record("pool", "v1", None, &names(&["a", "b"]), secs(1));
+    log.record("pool", "v1", None, &names(&["a"]), secs(2));
+    log.record("pool", "v2", None, &names(&["a"]), secs(3));
+    log.record("other", "v1", None, &names(&["a"]), secs(4));
+    let mut found = log.find("pool", &names(&["a"]));
+    found.sort_by_key(|answer| answer.at);
+    assert_eq!(found, [answer("a", "v1", secs(2)), answer("a", "v2", secs(3))]);
+}
+
+/// A customer chooses the ids of its parts and must not push out what speaks for the parts of others.
+#[test]
+fn answer_log_of_one_customer_does_not_push_out_others() {
+    let mut log = AnswerLog::default();
+    log.record("pool", "v1", Some("small"), &names(&["its"]), secs(1));
+    for number in 0..100_000 {
+        log.record("pool", "v1", Some("large"), &[format!("p{number}")], secs(2));
+    }
+    assert_eq!(log.find("pool", &names(&["its"])).len(), 1);
+    assert!(log.len() <= 16_384, "{}", log.len());
+}
+
+#[test]
+fn answer_log_forgets_after_two_generations() {
+    let mut log = AnswerLog::default();
+    log.record("pool", "v1", None, &names(&["a"]), secs(1));
+    log.record("pool", "v1", None, &names(&["b"]), secs(61));
+    assert_eq!(log.find("pool", &names(&["a"])).len(), 1);
+    log.record("pool", "v1", None, &names(&["b"]), secs(130));
+    assert!(log.find("pool", &names(&["a"])).is_empty());
+}
+
+fn verdict(suspects: &[&str], last_crash: Uptime) -> Verdict {
+    Verdict { suspects: set(suspects), times: vec![last_crash], versions: set(&["v1"]) }
+}
+
+fn quarantined(suspects: &[&str], now: Uptime) -> (Quarantines, Entry) {
+    let mut quarantines = Quarantines::default();
+    let entry = quarantines.blame("pool", &verdict(suspects, now), now).expect("it is new");
+    (quarantines, entry)
+}
+
+#[test]
+fn quarantine_refuses_requests_with_all_suspects() {
+    let (quarantines, _) = quarantined(&["bad", "system"], secs(1));
+    let is_refused =
+        |pool, suspects: &[&str]| quarantines.find(pool, &names(suspects), secs(2)).is_some();
+    assert!(is_refused("pool", &["a", "bad", "system"]));
+    assert!(!is_refused("pool", &["a", "system"]));
+    assert!(!is_refused("pool", &["bad"]));
+    assert!(!is_refused("other", &["bad", "system"]));
+}
+
+/// What is refused comes again for as long as its callers like; probes must not add up to many crashes.
+#[test]
+fn probes_get_rarer_and_end() {
+    let (mut quarantines, entry) = quarantined(&["bad"], secs(1));
+    let listed = set(&["v1"]);
+    let mut granted = Vec::new();
+    for now in (1..7 * 24 * 3_600).step_by(10) {
+        quarantines.renew(&entry.key, secs(now));
+        if quarantines.grant_probe(&entry.key, &listed, secs(now)).is_some() {
+            granted.push(now);
+        }
+        assert!(quarantines.find("pool", &names(&["bad"]), secs(now)).is_some());
+    }
+    assert_eq!(granted.len(), MAX_PROBES as usize);
+    assert!(granted[0] >= 60);
+    assert!(granted[1] >= 10 * granted[0], "{granted:?}");
+}
+
+/// A rollout may mend the target, so that the first requests after it find out, one for each rollout.
+#[test]
+fn probe_is_granted_once_all_targets_have_new_software() {
+    let (mut quarantines, entry) = quarantined(&["bad"], secs(1));
+    let mut grant =
+        |listed: &[&str]| quarantines.grant_probe(&entry.key, &set(listed), secs(2)).is_some();
+    assert!(!grant(&["v1", "v2"]));
+    assert!(!grant(&[]));
+    assert!(grant(&["v2"]));
+    assert!(!grant(&["v2"]));
+}
+
+#[test]
+fn quarantine_ends_with_an_answer_of_the_version_that_crashed() {
+    let (mut quarantines, entry) = quarantined(&["bad"], secs(1));
+    let suspects = names(&["bad", "x"]);
+    assert!(quarantines.release("pool", &suspects, "v2", secs(2)).is_empty());
+    assert!(quarantines.release("pool", &names(&["x"]), "v1", secs(2)).is_empty());
+    let released = quarantines.release("pool", &suspects, "v1", secs(2));
+    assert_eq!(released.len(), 1);
+    assert!(quarantines.find("pool", &suspects, secs(3)).is_none());
+    // An older state at another gateway does not bring it back.
+    assert_eq!(quarantines.merge(entry, secs(4)), None);
+    assert!(quarantines.find("pool", &suspects, secs(5)).is_none());
+}
+
+#[test]
+fn quarantine_ends_when_nobody_asks() {
+    let (mut quarantines, entry) = quarantined(&["bad"], secs(1));
+    let half = IDLE_TIME / 2 + secs(10);
+    assert!(quarantines.renew(&entry.key, secs(10)).is_none());
+    assert!(quarantines.renew(&entry.key, half).is_some());
+    assert!(quarantines.remove_expired(IDLE_TIME + secs(2)).is_empty());
+    assert_eq!(quarantines.remove_expired(half + IDLE_TIME + secs(1)).len(), 1);
+    // Evidence that is older does not bring it back.
+    let old = verdict(&["bad"], secs(1));
+    assert!(quarantines.blame("pool", &old, half + IDLE_TIME + secs(2)).is_none());
+}
+
+#[test]
+fn quarantines_of_two_gateways_agree_after_a_merge() {
+    let (mut left, entry) = quarantined(&["bad"], secs(1));
+    let (mut right, _) = quarantined(&["worse"], secs(1));
+    assert_ne!(left.digest(), right.digest());
+    assert_ne!(left.digest(), 0);
+    left.grant_probe(&entry.key, &set(&["v1"]), secs(70));
+    let exchange = |from: &Quarantines, to: &mut Quarantines| {
+        let messages: Vec<_> = from.all().map(|entry| entry.to_message(secs(71))).collect();
+        for message in messages {
+            to.merge(Entry::from_message(message, secs(71)), secs(71));
+        }
+    };
+    exchange(&left, &mut right);
+    exchange(&right, &mut left);
+    assert_eq!(left.digest(), right.digest());
+    let probes = |all: &Quarantines, key: &Key| {
+        all.all().find(|entry| entry.key == *key).map(|entry| entry.probes)
+    };
+    assert_eq!(probes(&right, &entry.key), Some(1));
+    assert!(right.grant_probe(&entry.key, &set(&["v1"]), secs(72)).is_none());
+}
+
+#[test]
+fn quarantines_are_bounded() {
+    let mut quarantines = Quarantines::default();
+    for number in 0..1_000 {
+        let name = format!("bad-{number}");
+        quarantines.blame("pool", &verdict(&[&name], secs(number)), secs(number));
+    }
+    assert!(quarantines.all().count() <= 256);
+    assert!(quarantines.find("pool", &names(&["bad-999"]), secs(1_000)).is_some());
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -71,6 +71,10 @@
             | Request::ReadStoreService
             | Request::RecordOrigin(_)
             | Request::ReadOrigin(_)
+            | Request::ReportCrash(_)
+            | Request::ReadAnswers(_)
+            | Request::SyncQuarantines(_)
+            | Request::AskProbe(_)
             | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an entry does not serve this".to_owned())).await
             }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,6 +2,7 @@
 
 mod continuation;
 mod limited;
+mod quarantined;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -21,7 +22,6 @@
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
-use crate::crashes::{self, LostRun};
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits;
 use crate::response::Failure;
@@ -116,6 +116,10 @@
     pub(crate) deadline: Uptime,
     /// Number of attempts in which the request ran or may have run.
     pub(crate) runs: u32,
+    /// Targets that the request has lost before it had an answer.
+    pub(crate) lost_targets: Vec<Arc<TrackedTarget>>,
+    /// Whether the request finds out if a quarantine is still needed.
+    pub(crate) is_probe: bool,
     /// Where the stream began, once its first event is known; it goes on at this software version only.
     pub(crate) begun: Option<continuation::Begun>,
     /// Targets to which the request is not sent again.
@@ -222,8 +226,8 @@
 
     /// Returns whether the request may be sent again after a failure at a target where it ran or may have run, and
     /// withdraws the retry from the budget.
-    pub(crate) fn start_retry(&self, reason: &'static str) -> bool {
-        self.can_retry() && self.withdraw_retry(reason)
+    pub(crate) async fn start_retry(&self, reason: &'static str) -> bool {
+        self.can_retry() && !self.is_suspect().await && self.withdraw_retry(reason)
     }
 
     fn customer_name(&self) -> Option<&str> {
@@ -276,6 +280,9 @@
         // Targets whose limits left no request for this one.
         let mut denied = HashSet::new();
         loop {
+            if let Some(entry) = self.quarantine() {
+                return Err(self.quarantine_failure(&entry));
+            }
             let now = boottime::now();
             let is_denied_often = denied.len() >= MAX_DENIED_ASKS;
             let mut held = self.shared.limits.held(self.demand(), is_denied_often, now);
@@ -330,9 +337,9 @@
                 Err(err) => {
                     let sent = sent(connection);
                     sent.on_failure();
-                    self.on_break(&sent, false);
+                    self.on_break(sent.tracked(), false);
                     tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
-                    if self.start_retry("no_reply") {
+                    if self.start_retry("no_reply").await {
                         continue;
                     }
                     return Err(Failure::new(StatusCode::BAD_GATEWAY, "the target gave no reply"));
@@ -371,12 +378,6 @@
         }
     }
 
-    /// Records that the connection broke before the request had an answer; `has_begun` is set after the head of the reply.
-    pub(crate) fn on_break(&self, sent: &SentRequest, has_begun: bool) {
-        let lost = LostRun { suspects: self.suspects.clone(), has_begun };
-        crashes::on_break(&self.shared, &sent.tracked, Some(lost));
-    }
-
     fn no_target_failure(&self) -> Failure {
         if self.runs > 0 {
             return Failure::new(
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -123,7 +123,7 @@
             self.version_failure(reason);
             return None;
         }
-        if !self.start_retry("stream_broken") {
+        if self.quarantine().is_some() || !self.start_retry("stream_broken").await {
             return None;
         }
         // The stream has started, so its stages are as urgent as those of a request that has just arrived.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::dialect::Dialect;
+use crate::poison::evidence;
 use crate::shared::Shared;
 use crate::targets::TrackedTarget;
 use crate::upstream;
@@ -87,7 +88,9 @@
     let is_crash = has_ended(&shared, &tracked).await;
     let lost = shared.crashes.pending.lock().remove(&start).unwrap_or_default();
     if is_crash {
-        record(&shared, &Crash { tracked, at, lost });
+        let crash = Crash { tracked, at, lost };
+        record(&shared, &crash);
+        evidence::report(&shared, &crash);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod origins;
 mod peers;
+mod poison;
 mod ports;
 mod relay;
 mod request;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::ownership::{self, Candidate};
+use marigold_core::poison::quarantine;
 use marigold_core::rendezvous;
 use marigold_core::targets::Target;
 use marigold_link::peer::Peer;
@@ -300,6 +301,28 @@
         member.map_or(Owner::Local, Owner::Remote)
     }
 
+    /// Returns the `count` gateways that judge the crashes of a pool, in the order in which they do.
+    pub(crate) fn judges(&self, pool: &str, count: usize) -> Vec<Owner> {
+        let state = self.state.lock();
+        let others = state.others.values().filter(|member| member.is_alive());
+        let names = others.map(|member| &member.name).chain([&self.name]);
+        let judges = rendezvous::rank(pool, names).into_iter().take(count);
+        let owner = |name: &Name| {
+            state.others.get(name).map_or(Owner::Local, |member| Owner::Remote(member.clone()))
+        };
+        judges.map(owner).collect()
+    }
+
+    /// Returns the owner of a quarantine, which grants its probes.
+    pub(crate) fn quarantine_owner(&self, (pool, suspects): &quarantine::Key) -> Owner {
+        let names: Vec<&str> = [pool].into_iter().chain(suspects).map(String::as_str).collect();
+        let state = self.state.lock();
+        let alive = self.candidates(&state, Member::is_alive);
+        let owner = ownership::limit_owner(&names.join("\n"), &alive);
+        let member = owner.and_then(|owner| state.others.get(&owner).cloned());
+        member.map_or(Owner::Local, Owner::Remote)
+    }
+
     /// Returns which part of the gateways this one reaches, itself included. Those that have been unresponsive for long
     /// and those that are being stopped do not count.
     pub(crate) fn reachable_part(&self, now: Uptime) -> f64 {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) limit_asks: Counter<u64>,
     pub(crate) limit_refusals: Counter<u64>,
     pub(crate) target_crashes: Counter<u64>,
+    pub(crate) quarantines: Gauge<u64>,
+    pub(crate) quarantine_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -96,6 +98,14 @@
                 "marigold_target_crashes",
                 "Crashes of targets that ran requests of this gateway, by pool",
             ),
+            quarantines: meter
+                .u64_gauge("marigold_quarantines")
+                .with_description("Quarantines of requests that crash targets, by pool")
+                .build(),
+            quarantine_refusals: counter(
+                "marigold_quarantine_refusals",
+                "Requests refused because such requests crash targets, by pool",
+            ),
             store_era: meter
                 .u64_gauge("marigold_store_era")
                 .with_description("Number of times that the store was restored from an older copy")
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,8 +10,8 @@
 use marigold_process::boottime;
 use marigold_schema::messages;
 use marigold_schema::messages::{
-    ConfigText, GatewayFacts, LimitAsk, LimitGrant, Reply, Request, RunStage, StageDone,
-    StageRelease,
+    AnswerAges, AnswerQuery, ConfigText, CrashReport, GatewayFacts, LimitAsk, LimitGrant, ProbeAsk,
+    QuarantineList, Reply, Request, RunStage, StageDone, StageRelease,
 };
 use tokio::time;
 
@@ -20,6 +20,8 @@
 use crate::limits;
 use crate::members::{Member, Owner};
 use crate::origins;
+use crate::poison;
+use crate::poison::{evidence, spread};
 use crate::shared::Shared;
 
 /// Interval at which peers are polled.
@@ -130,6 +132,44 @@
     }
 }
 
+/// Sends the report of a crash to a judge of its pool.
+pub(crate) async fn report_crash(judge: &Member, report: CrashReport) -> Result<(), String> {
+    match exchange(judge, &Request::ReportCrash(report), evidence::MESSAGE_TIMEOUT).await? {
+        Reply::Accepted(true) => Ok(()),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
+/// Asks a gateway for answers to requests with some suspects.
+pub(crate) async fn read_answers(
+    member: &Member,
+    query: AnswerQuery,
+) -> Result<AnswerAges, String> {
+    match exchange(member, &Request::ReadAnswers(query), evidence::MESSAGE_TIMEOUT).await? {
+        Reply::AnswerAges(ages) => Ok(ages),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
+/// Sends quarantines to a gateway, and returns all of its own if the list is complete.
+pub(crate) async fn sync_quarantines(
+    member: &Member,
+    list: QuarantineList,
+) -> Result<QuarantineList, String> {
+    match exchange(member, &Request::SyncQuarantines(list), REPLY_TIMEOUT).await? {
+        Reply::Quarantines(list) => Ok(list),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
+/// Asks the owner of a quarantine for a probe.
+pub(crate) async fn ask_probe(owner: &Member, ask: ProbeAsk) -> Result<bool, String> {
+    match exchange(owner, &Request::AskProbe(ask), evidence::MESSAGE_TIMEOUT).await? {
+        Reply::Accepted(is_granted) => Ok(is_granted),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
 /// Polls the state of the relevant peers, until the process ends.
 pub(crate) async fn poll_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     loop {
@@ -139,6 +179,7 @@
         shared
             .limits
             .remove_unused(now, |id, started_at_ms| shared.targets.has_start(id, started_at_ms));
+        poison::maintain(&shared);
         for member in shared.members.to_poll(&shared.limits.in_use(now)) {
             tokio::spawn(poll(shared.clone(), member));
         }
@@ -175,6 +216,7 @@
     }
     shared.members.on_facts(&facts);
     limits::merge_changed(&shared, facts.limits.clone(), sent);
+    spread::sync(&shared, &member, facts.quarantines).await;
     if !shared.remaining_grace_period(boottime::now()).is_zero() {
         merge_store_service(&shared, &member).await;
     }
@@ -296,6 +338,20 @@
             Request::AskLimit(ask) => {
                 replies.send(&Reply::LimitGrant(limits::answer(shared, ask))).await?;
             }
+            Request::ReportCrash(report) => {
+                let is_kept = evidence::keep(shared, report, boottime::now());
+                replies.send(&Reply::Accepted(is_kept)).await?;
+            }
+            Request::ReadAnswers(query) => {
+                replies.send(&Reply::AnswerAges(evidence::answer(shared, &query))).await?;
+            }
+            Request::SyncQuarantines(list) => {
+                replies.send(&Reply::Quarantines(spread::exchange(shared, list))).await?;
+            }
+            Request::AskProbe(ProbeAsk { pool, suspects }) => {
+                let key = (pool, suspects.into_iter().collect());
+                replies.send(&Reply::Accepted(spread::grant_probe(shared, &key))).await?;
+            }
             Request::RecordOrigin(origin) => {
                 replies.send(&Reply::Accepted(origins::keep(shared, origin))).await?;
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -178,6 +178,8 @@
         arrived: guard.arrived,
         deadline,
         runs: 0,
+        lost_targets: Vec::new(),
+        is_probe: false,
         begun: None,
         tried: HashSet::new(),
     })
@@ -303,6 +305,7 @@
 async fn execute<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
+    attempts.check_quarantine().await?;
     attempts.find_origin().await?;
     attempts.check_limits()?;
     attempts.admit()?;
@@ -318,7 +321,7 @@
                 is_signed = reply.head.is_signed,
                 "reply is unsigned or for another request"
             );
-            if attempts.start_retry("foreign_reply") {
+            if attempts.start_retry("foreign_reply").await {
                 continue;
             }
             return Err(Failure::new(
@@ -341,13 +344,13 @@
                     &response,
                     TargetResponse::Full { status, .. } if status.is_server_error()
                 );
-                if !(is_failed && attempts.start_retry("target_failed")) {
+                if !(is_failed && attempts.start_retry("target_failed").await) {
                     return Ok(response);
                 }
             }
             Err(reason) => {
                 tracing::warn!(request = attempts.request(), reason, "response ended early");
-                if !attempts.start_retry("broken_answer") {
+                if !attempts.start_retry("broken_answer").await {
                     return Err(Failure::new(
                         StatusCode::BAD_GATEWAY,
                         "the target's answer broke off",
@@ -387,7 +390,7 @@
 }
 
 async fn read_full<D: Dialect, S: Store>(
-    attempts: &Attempts<D, S>,
+    attempts: &mut Attempts<D, S>,
     reply: Reply,
 ) -> Result<TargetResponse, String> {
     let Reply { sent, response, .. } = reply;
@@ -396,10 +399,11 @@
         Ok(body) => body,
         Err(err) => {
             sent.on_failure();
-            attempts.on_break(&sent, true);
+            attempts.on_break(sent.tracked(), true);
             return Err(err);
         }
     };
+    attempts.on_answer(sent.tracked());
     if parts.status.is_server_error() {
         sent.on_failure()
     } else {
@@ -412,7 +416,7 @@
 
 /// Waits for the first event of a stream, so that the request can be retried when the target fails before it.
 async fn start_stream<D: Dialect, S: Store>(
-    attempts: &Attempts<D, S>,
+    attempts: &mut Attempts<D, S>,
     reply: Reply,
 ) -> Result<TargetResponse, String> {
     let Reply { sent, response, .. } = reply;
@@ -424,12 +428,13 @@
             let (now, sent_at) = (boottime::now(), stream.sent_at());
             let duration = now.saturating_sub(sent_at);
             attempts.shared.durations.observe_first_event(&attempts.route.name, duration, now);
+            attempts.on_answer(stream.sent().tracked());
             Ok(TargetResponse::Stream { head, first_events: Some(first_events), stream })
         }
         StreamItem::End => Ok(TargetResponse::Stream { head, first_events: None, stream }),
         StreamItem::Broken(reason) => {
             stream.on_failure();
-            attempts.on_break(stream.sent(), true);
+            attempts.on_break(stream.sent().tracked(), true);
             Err(reason)
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::origins::Origins;
+use crate::poison::Poison;
 use crate::request;
 use crate::stage_runner::ReleaseQueue;
 use crate::targets::{self, TargetTable};
@@ -57,6 +58,7 @@
     pub(crate) targets: TargetTable,
     pub(crate) limits: Limits,
     pub(crate) crashes: Crashes,
+    pub(crate) poison: Poison,
     pub(crate) members: Members,
     pub(crate) origins: Origins,
     pub(crate) batcher: Batcher,
@@ -107,6 +109,7 @@
             targets: TargetTable::default(),
             limits: Limits::default(),
             crashes: Crashes::default(),
+            poison: Poison::default(),
             members,
             origins: Origins::default(),
             batcher: Batcher::default(),
@@ -301,6 +304,7 @@
             proof_age_ms: age.map(|age| age.as_millis() as u64),
             leaving: self.is_stopping(),
             limits: self.limits.changed(now),
+            quarantines: self.poison.digest(),
         }
     }
 
@@ -368,6 +372,9 @@
             self.metrics.target_versions.record(*count, &labels);
         }
         versions.retain(|_, count| *count > 0);
+        for (pool, count) in self.poison.count_by_pool() {
+            self.metrics.quarantines.record(count, &[KeyValue::new("pool", pool)]);
+        }
         for (pool, limits) in self.limits.summary(now) {
             let labels = [KeyValue::new("pool", pool)];
             self.metrics.limited_targets.record(limits.targets, &labels);
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -64,6 +64,101 @@
     pub epoch: u64,
     pub shard: u16,
 }
+///When a target last began an answer to a request with a suspect.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "When a target last began an answer to a request with a suspect.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "suspect",
+///    "version"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since then, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "suspect": {
+///      "type": "string"
+///    },
+///    "version": {
+///      "description": "Software version of the target.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AnswerAge {
+    ///Time since then, in milliseconds.
+    pub age_ms: u64,
+    pub suspect: ::std::string::String,
+    ///Software version of the target.
+    pub version: ::std::string::String,
+}
+///Answers that a gateway remembers.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Answers that a gateway remembers.",
+///  "type": "object",
+///  "required": [
+///    "answers"
+///  ],
+///  "properties": {
+///    "answers": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/AnswerAge"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AnswerAges {
+    pub answers: ::std::vec::Vec<AnswerAge>,
+}
+///Asks when targets of a pool last began answers to requests with some suspects.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Asks when targets of a pool last began answers to requests with some suspects.",
+///  "type": "object",
+///  "required": [
+///    "pool",
+///    "suspects"
+///  ],
+///  "properties": {
+///    "pool": {
+///      "type": "string"
+///    },
+///    "suspects": {
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AnswerQuery {
+    pub pool: ::std::string::String,
+    pub suspects: ::std::vec::Vec<::std::string::String>,
+}
 ///One attempt to run one stage.
 ///
 /// <details><summary>JSON schema</summary>
@@ -390,6 +485,65 @@
 pub struct ConfigText {
     pub text: ::std::string::String,
 }
+///What a gateway lost to the crash of a target.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What a gateway lost to the crash of a target.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "pool",
+///    "runs",
+///    "started_at_ms",
+///    "target",
+///    "version"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since the crash, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "pool": {
+///      "type": "string"
+///    },
+///    "runs": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/LostRun"
+///      }
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the target, in milliseconds since the Unix epoch.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "target": {
+///      "type": "string"
+///    },
+///    "version": {
+///      "description": "Software version of the target.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CrashReport {
+    ///Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    pub pool: ::std::string::String,
+    pub runs: ::std::vec::Vec<LostRun>,
+    ///Start of the target, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    pub target: ::std::string::String,
+    ///Software version of the target.
+    pub version: ::std::string::String,
+}
 ///All changes after one revision, up to and including another.
 ///
 /// <details><summary>JSON schema</summary>
@@ -618,7 +772,8 @@
 ///    "entry",
 ///    "leaving",
 ///    "limits",
-///    "name"
+///    "name",
+///    "quarantines"
 ///  ],
 ///  "properties": {
 ///    "config_version": {
@@ -648,6 +803,11 @@
 ///      "description": "Time since it was last verified that no newer configuration existed, in milliseconds; absent if it was never verified.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "quarantines": {
+///      "description": "Hash of the quarantines that the gateway knows; zero if there are none.",
+///      "type": "integer",
+///      "format": "uint64"
 ///    }
 ///  }
 ///}
@@ -667,6 +827,8 @@
     ///Time since it was last verified that no newer configuration existed, in milliseconds; absent if it was never verified.
     #[serde(default)]
     pub proof_age_ms: ::std::option::Option<u64>,
+    ///Hash of the quarantines that the gateway knows; zero if there are none.
+    pub quarantines: u64,
 }
 ///Heartbeat, sent by an entry on each of its links to agents.
 ///
@@ -908,6 +1070,41 @@
     ///Time since the request was sent, in milliseconds, rounded up.
     pub sent_age_ms: u64,
 }
+///A request that was lost to the crash of a target.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A request that was lost to the crash of a target.",
+///  "type": "object",
+///  "required": [
+///    "has_begun",
+///    "suspects"
+///  ],
+///  "properties": {
+///    "has_begun": {
+///      "description": "Whether the target had begun its answer.",
+///      "type": "boolean"
+///    },
+///    "suspects": {
+///      "description": "What may have crashed the target, if this request did.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LostRun {
+    ///Whether the target had begun its answer.
+    pub has_begun: bool,
+    ///What may have crashed the target, if this request did.
+    pub suspects: ::std::vec::Vec<::std::string::String>,
+}
 ///The attempt did not run and will not run.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1309,6 +1506,37 @@
     ///Names of the pool's declared targets.
     pub targets: ::std::vec::Vec<::std::string::String>,
 }
+///Asks the owner of a quarantine whether a single request may find out if it still crashes targets.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Asks the owner of a quarantine whether a single request may find out if it still crashes targets.",
+///  "type": "object",
+///  "required": [
+///    "pool",
+///    "suspects"
+///  ],
+///  "properties": {
+///    "pool": {
+///      "type": "string"
+///    },
+///    "suspects": {
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeAsk {
+    pub pool: ::std::string::String,
+    pub suspects: ::std::vec::Vec<::std::string::String>,
+}
 ///Asks a peer for all changes after a revision.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1333,6 +1561,129 @@
 pub struct Pull {
     pub revision: u64,
 }
+///Requests that are refused because they crash targets.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Requests that are refused because they crash targets.",
+///  "type": "object",
+///  "required": [
+///    "crashes",
+///    "left_ms",
+///    "next_probe_ms",
+///    "pool",
+///    "probes",
+///    "released",
+///    "revision",
+///    "suspects",
+///    "versions"
+///  ],
+///  "properties": {
+///    "crashes": {
+///      "description": "Number of crashes when it began.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "left_ms": {
+///      "description": "Time until it ends unless somebody asks, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "next_probe_ms": {
+///      "description": "Time until the next probe may be granted, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "pool": {
+///      "type": "string"
+///    },
+///    "probes": {
+///      "description": "Number of probes that were granted.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "released": {
+///      "description": "Whether it has ended because a request was answered.",
+///      "type": "boolean"
+///    },
+///    "revision": {
+///      "description": "Raised by each change.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "suspects": {
+///      "description": "Requests with all of these are refused.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "versions": {
+///      "description": "Software versions whose targets crashed, or were probed.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Quarantine {
+    ///Number of crashes when it began.
+    pub crashes: u32,
+    ///Time until it ends unless somebody asks, in milliseconds.
+    pub left_ms: u64,
+    ///Time until the next probe may be granted, in milliseconds.
+    pub next_probe_ms: u64,
+    pub pool: ::std::string::String,
+    ///Number of probes that were granted.
+    pub probes: u32,
+    ///Whether it has ended because a request was answered.
+    pub released: bool,
+    ///Raised by each change.
+    pub revision: u64,
+    ///Requests with all of these are refused.
+    pub suspects: ::std::vec::Vec<::std::string::String>,
+    ///Software versions whose targets crashed, or were probed.
+    pub versions: ::std::vec::Vec<::std::string::String>,
+}
+///Quarantines that a gateway knows.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Quarantines that a gateway knows.",
+///  "type": "object",
+///  "required": [
+///    "entries",
+///    "is_complete"
+///  ],
+///  "properties": {
+///    "entries": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Quarantine"
+///      }
+///    },
+///    "is_complete": {
+///      "description": "Whether these are all; the reply then has all of the other gateway.",
+///      "type": "boolean"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct QuarantineList {
+    pub entries: ::std::vec::Vec<Quarantine>,
+    ///Whether these are all; the reply then has all of the other gateway.
+    pub is_complete: bool,
+}
 ///Replicates to an entry the keys of a shard that may have run.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1557,6 +1908,30 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "answer_ages"
+///      ],
+///      "properties": {
+///        "answer_ages": {
+///          "$ref": "#/definitions/AnswerAges"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "quarantines"
+///      ],
+///      "properties": {
+///        "quarantines": {
+///          "$ref": "#/definitions/QuarantineList"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1592,6 +1967,10 @@
     LimitGrant(LimitGrant),
     #[serde(rename = "origin")]
     Origin(OriginAnswer),
+    #[serde(rename = "answer_ages")]
+    AnswerAges(AnswerAges),
+    #[serde(rename = "quarantines")]
+    Quarantines(QuarantineList),
 }
 impl ::std::convert::From<Report> for Reply {
     fn from(value: Report) -> Self {
@@ -1648,6 +2027,16 @@
         Self::Origin(value)
     }
 }
+impl ::std::convert::From<AnswerAges> for Reply {
+    fn from(value: AnswerAges) -> Self {
+        Self::AnswerAges(value)
+    }
+}
+impl ::std::convert::From<QuarantineList> for Reply {
+    fn from(value: QuarantineList) -> Self {
+        Self::Quarantines(value)
+    }
+}
 ///Reply of an agent to a heartbeat.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1954,6 +2343,54 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "report_crash"
+///      ],
+///      "properties": {
+///        "report_crash": {
+///          "$ref": "#/definitions/CrashReport"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "read_answers"
+///      ],
+///      "properties": {
+///        "read_answers": {
+///          "$ref": "#/definitions/AnswerQuery"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "sync_quarantines"
+///      ],
+///      "properties": {
+///        "sync_quarantines": {
+///          "$ref": "#/definitions/QuarantineList"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "ask_probe"
+///      ],
+///      "properties": {
+///        "ask_probe": {
+///          "$ref": "#/definitions/ProbeAsk"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1997,6 +2434,14 @@
     RecordOrigin(StreamOrigin),
     #[serde(rename = "read_origin")]
     ReadOrigin(OriginQuery),
+    #[serde(rename = "report_crash")]
+    ReportCrash(CrashReport),
+    #[serde(rename = "read_answers")]
+    ReadAnswers(AnswerQuery),
+    #[serde(rename = "sync_quarantines")]
+    SyncQuarantines(QuarantineList),
+    #[serde(rename = "ask_probe")]
+    AskProbe(ProbeAsk),
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
@@ -2083,6 +2528,26 @@
         Self::ReadOrigin(value)
     }
 }
+impl ::std::convert::From<CrashReport> for Request {
+    fn from(value: CrashReport) -> Self {
+        Self::ReportCrash(value)
+    }
+}
+impl ::std::convert::From<AnswerQuery> for Request {
+    fn from(value: AnswerQuery) -> Self {
+        Self::ReadAnswers(value)
+    }
+}
+impl ::std::convert::From<QuarantineList> for Request {
+    fn from(value: QuarantineList) -> Self {
+        Self::SyncQuarantines(value)
+    }
+}
+impl ::std::convert::From<ProbeAsk> for Request {
+    fn from(value: ProbeAsk) -> Self {
+        Self::AskProbe(value)
+    }
+}
 ///Asks the owner of a pool, the gateway that batches the calls to it, to run one stage of a request. The stage consists of pieces: units of work that a call carries together with others.
 ///
 /// <details><summary>JSON schema</summary>
