--- a/crates/core/tests/poison_random.rs
+++ b/crates/core/tests/poison_random.rs
@@ -27,6 +27,7 @@
     /// When its answer begins, if nothing happens before.
     begins: u64,
     attempts_left: u32,
+    sent: u64,
 }
 
 /// What is played beside sound requests.
@@ -93,6 +94,7 @@
             gateway: rng.random_range(0..GATEWAYS),
             begins: step + rng.random_range(3..60),
             attempts_left: 2,
+            sent: step,
         };
         if rng.random_bool(0.3) {
             let suspects = sound(&mut rng);
@@ -136,6 +138,7 @@
                     suspects: request.suspects.clone(),
                     // The head of a reply is often lost with its connection.
                     has_begun: request.begins <= step && rng.random_bool(0.5),
+                    ran: STEP * (step - request.sent) as u32,
                 });
                 let evidence = Evidence {
                     target: format!("target-{target}"),
@@ -149,6 +152,7 @@
             for mut request in lost {
                 request.attempts_left -= 1;
                 request.begins = step + rng.random_range(3..60);
+                request.sent = step;
                 if request.attempts_left > 0 {
                     arriving.push(request);
                 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -337,7 +337,7 @@
                 Err(err) => {
                     let sent = sent(connection);
                     sent.on_failure();
-                    self.on_break(sent.tracked(), false);
+                    self.on_break(&sent, false);
                     tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
                     if self.start_retry("no_reply").await {
                         continue;
--- a/crates/gateway/src/attempts/quarantined.rs
+++ b/crates/gateway/src/attempts/quarantined.rs
@@ -1,6 +1,5 @@
 //! Requests that are refused because they crash targets.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future;
@@ -9,7 +8,7 @@
 use marigold_objects::Store;
 use marigold_process::boottime;
 
-use super::Attempts;
+use super::{Attempts, SentRequest};
 use crate::crashes::{self, LostRun};
 use crate::dialect::Dialect;
 use crate::poison;
@@ -72,10 +71,10 @@
 
     /// Records that the connection to a target broke before the request had an answer; `has_begun` is set after the head of
     /// the reply.
-    pub(crate) fn on_break(&mut self, tracked: &Arc<TrackedTarget>, has_begun: bool) {
-        self.lost_targets.push(tracked.clone());
-        let lost = LostRun { suspects: self.suspects.clone(), has_begun };
-        crashes::on_break(&self.shared, tracked, Some(lost));
+    pub(crate) fn on_break(&mut self, sent: &SentRequest, has_begun: bool) {
+        self.lost_targets.push(sent.tracked().clone());
+        let lost = LostRun { suspects: self.suspects.clone(), has_begun, sent_at: sent.sent_at() };
+        crashes::on_break(&self.shared, sent.tracked(), Some(lost));
     }
 
     /// Records that a target began its answer to the request.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -40,6 +40,8 @@
     pub(crate) suspects: Arc<[Suspect]>,
     /// Whether the head of the reply has arrived.
     pub(crate) has_begun: bool,
+    /// When it was sent to the target.
+    pub(crate) sent_at: Uptime,
 }
 
 /// A target that has crashed.
--- a/crates/gateway/src/poison/evidence.rs
+++ b/crates/gateway/src/poison/evidence.rs
@@ -41,7 +41,11 @@
     let target = &crash.tracked.target;
     let runs = crash.lost.iter().filter(|run| !run.suspects.is_empty());
     let runs: Vec<messages::LostRun> = runs
-        .map(|run| messages::LostRun { suspects: run.suspects.to_vec(), has_begun: run.has_begun })
+        .map(|run| messages::LostRun {
+            suspects: run.suspects.to_vec(),
+            has_begun: run.has_begun,
+            ran_ms: crash.at.saturating_sub(run.sent_at).as_millis() as u64,
+        })
         .collect();
     if runs.is_empty() {
         return;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -399,7 +399,7 @@
         Ok(body) => body,
         Err(err) => {
             sent.on_failure();
-            attempts.on_break(sent.tracked(), true);
+            attempts.on_break(&sent, true);
             return Err(err);
         }
     };
@@ -434,7 +434,7 @@
         StreamItem::End => Ok(TargetResponse::Stream { head, first_events: None, stream }),
         StreamItem::Broken(reason) => {
             stream.on_failure();
-            attempts.on_break(stream.sent().tracked(), true);
+            attempts.on_break(stream.sent(), true);
             Err(reason)
         }
     }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -1080,6 +1080,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "has_begun",
+///    "ran_ms",
 ///    "suspects"
 ///  ],
 ///  "properties": {
@@ -1087,6 +1088,11 @@
 ///      "description": "Whether the target had begun its answer.",
 ///      "type": "boolean"
 ///    },
+///    "ran_ms": {
+///      "description": "Time from its sending to the crash, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "suspects": {
 ///      "description": "What may have crashed the target, if this request did.",
 ///      "type": "array",
@@ -1102,6 +1108,8 @@
 pub struct LostRun {
     ///Whether the target had begun its answer.
     pub has_begun: bool,
+    ///Time from its sending to the crash, in milliseconds.
+    pub ran_ms: u64,
     ///What may have crashed the target, if this request did.
     pub suspects: ::std::vec::Vec<::std::string::String>,
 }
