Judges: both decide, and get reports again after a restart; model of the evidence

The second judge knew enough and did not act. Reports were not sent to it again either, since they were acknowledged by its name, and the restarted process has the same one.

Both judges decide now, and reports are acknowledged by the run of a judge's process.

--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -1,8 +1,8 @@
 //! Requests that crash targets: evidence that gateways gather together, and what they refuse because of it.
 //!
-//! Each gateway reports what it lost to a crash to the judges of the pool, two gateways that are chosen by hashing. The
-//! first of them finds what the crashes have in common, asks all gateways for answers that speak against it, and tells
-//! all of them what to refuse. Gateways compare what they refuse with each poll.
+//! Each gateway reports what it lost to a crash to the judges of the pool, two gateways that are chosen by hashing. Each of
+//! them finds what the crashes have in common, asks all gateways for answers that speak against it, and tells all of
+//! them what to refuse. Gateways compare what they refuse with each poll.
 
 pub(crate) mod evidence;
 pub(crate) mod spread;
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use marigold_core::ids::{Name, Uptime};
+use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::poison::Suspect;
 use marigold_core::poison::answers::AnswerLog;
 use marigold_core::poison::judge::Judge;
@@ -34,11 +34,11 @@
     is_judging: bool,
 }
 
-/// A report of this gateway, and the judges that have it.
+/// A report of this gateway, and the judges that have it, with the runs of their processes.
 struct SentReport {
     report: CrashReport,
     at: Uptime,
-    acknowledged: Vec<Name>,
+    acknowledged: Vec<(Name, Incarnation)>,
 }
 
 /// Evidence and quarantines of a gateway.
--- a/crates/gateway/src/poison/evidence.rs
+++ b/crates/gateway/src/poison/evidence.rs
@@ -5,7 +5,7 @@
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use marigold_core::ids::Uptime;
+use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::poison::Suspect;
 use marigold_core::poison::answers::Answer;
 use marigold_core::poison::judge::{Evidence, LostRun};
@@ -21,7 +21,7 @@
 use crate::peers;
 use crate::shared::Shared;
 
-/// Number of gateways that keep the evidence of a pool; one of them may end.
+/// Number of gateways that keep the evidence of a pool and judge it. One of them may end, and lacks evidence when it is back.
 const JUDGES: usize = 2;
 /// Time within which the other gateways report the same crash.
 const REPORTING_TIME: Duration = Duration::from_millis(150);
@@ -75,7 +75,7 @@
         reports.retain(|sent| now < sent.at + REPORT_RETENTION);
         for sent in reports.iter() {
             for judge in shared.members.judges(&sent.report.pool, JUDGES) {
-                if !sent.acknowledged.contains(&judge_name(shared, &judge)) {
+                if !sent.acknowledged.contains(&incarnation(shared, &judge)) {
                     let age_ms = now.saturating_sub(sent.at).as_millis() as u64;
                     due.push((judge, CrashReport { age_ms, ..sent.report.clone() }));
                 }
@@ -85,15 +85,17 @@
     for (judge, report) in due {
         match judge {
             Owner::Local => {
-                let name = judge_name(shared, &Owner::Local);
-                acknowledge(shared, &report, name);
+                acknowledge(shared, &report, incarnation(shared, &Owner::Local));
                 keep(shared, report, now);
             }
             Owner::Remote(member) => {
                 let shared = shared.clone();
                 tokio::spawn(async move {
                     match peers::report_crash(&member, report.clone()).await {
-                        Ok(()) => acknowledge(&shared, &report, member.name),
+                        Ok(()) => {
+                            let judge = incarnation(&shared, &Owner::Remote(member));
+                            acknowledge(&shared, &report, judge);
+                        }
                         Err(err) => {
                             tracing::debug!(member = member.name, err, "crash not reported");
                         }
@@ -104,14 +106,19 @@
     }
 }
 
-fn judge_name<D: Dialect, S>(shared: &Shared<D, S>, judge: &Owner) -> String {
+/// Returns which run of a judge's process is meant; one that was restarted has no reports.
+fn incarnation<D: Dialect, S>(shared: &Shared<D, S>, judge: &Owner) -> (Name, Incarnation) {
     match judge {
-        Owner::Local => shared.settings().name.clone(),
-        Owner::Remote(member) => member.name.clone(),
+        Owner::Local => (shared.settings().name.clone(), shared.incarnation),
+        Owner::Remote(member) => (member.name.clone(), member.incarnation),
     }
 }
 
-fn acknowledge<D: Dialect, S>(shared: &Shared<D, S>, report: &CrashReport, judge: String) {
+fn acknowledge<D: Dialect, S>(
+    shared: &Shared<D, S>,
+    report: &CrashReport,
+    judge: (Name, Incarnation),
+) {
     let mut reports = shared.poison.reports.lock();
     let sent = reports.iter_mut().find(|sent| {
         sent.report.target == report.target
@@ -151,7 +158,7 @@
     true
 }
 
-/// Judges the pools with new evidence of which this gateway is the first judge.
+/// Judges the pools with new evidence of which this gateway is a judge.
 pub(super) fn judge_due<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>) {
     let judges = shared.poison.judges.lock();
     let due = judges.iter().filter(|(_, judge)| judge.is_due && !judge.is_judging);
@@ -163,8 +170,8 @@
 }
 
 fn judge_soon<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, pool: String) {
-    let is_first = matches!(shared.members.judges(&pool, 1).first(), Some(Owner::Local));
-    if !is_first {
+    let judges = shared.members.judges(&pool, JUDGES);
+    if !judges.iter().any(|judge| matches!(judge, Owner::Local)) {
         return;
     }
     let mut judges = shared.poison.judges.lock();
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod licence;
 pub mod limits;
 pub mod origins;
+pub mod poison;
 pub mod restore;
 mod search;
 
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -122,6 +122,8 @@
     poisons: Mutex<Vec<Poison>>,
     crash: Notify,
     crashes: Mutex<Vec<Instant>>,
+    /// Requests that crashed the replica.
+    poisoned: Mutex<Vec<(Instant, String)>>,
     faults: Mutex<VecDeque<Fault>>,
     runs: Mutex<Vec<Run>>,
     arrivals: Mutex<Vec<Arrival>>,
@@ -194,6 +196,11 @@
         *self.state.poisons.lock() = poisons.to_vec();
     }
 
+    /// Returns the requests that crashed the replica, with the times.
+    pub fn poisoned(&self) -> Vec<(Instant, String)> {
+        self.state.poisoned.lock().clone()
+    }
+
     /// Returns the times of the crashes.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.crashes.lock().clone()
@@ -444,6 +451,7 @@
             time::sleep(self.options.response_delay).await;
             let head = self.stream_head(&headers);
             self.stream.write_all(format!("{head}8\r\nid: 1\nda\r\n").as_bytes()).await?;
+            self.state.poisoned.lock().push((Instant::now(), run.request));
             self.state.crash.notify_one();
             return std::future::pending().await;
         }
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -202,13 +202,25 @@
         crashes
     }
 
+    /// Returns the times of the crashes under requests whose ids begin with `prefix`, in their order.
+    pub fn crashes_under(&self, prefix: &str) -> Vec<Instant> {
+        let poisoned = self.replicas.iter().flat_map(Replica::poisoned);
+        let of_prefix = poisoned.filter(|(_, request)| request.starts_with(prefix));
+        let mut crashes: Vec<Instant> = of_prefix.map(|(at, _)| at).collect();
+        crashes.sort_unstable();
+        crashes
+    }
+
     /// Publishes a replica of the pool `app` with a state.
     pub async fn set_replica_state(&self, number: usize, state: &str) {
         let version = &self.replica_versions[number];
         let mut spec = server_spec("app", self.replica_relays[number].addr(), version, state);
         spec["born"] = json!(self.replica_starts[number]);
         let id = self.replicas[number].id().borrow().clone();
-        self.put("servers", &id.unwrap_or_default(), &spec).await;
+        // A replica that has crashed comes back as ready.
+        if let Some(id) = id {
+            self.put("servers", &id, &spec).await;
+        }
     }
 
     /// Publishes another start of a replica of the pool `app` under its id, with a software version.
@@ -230,7 +242,9 @@
     /// Removes the entry of a replica of the pool `app`.
     pub async fn remove_replica(&self, number: usize) {
         let id = self.replicas[number].id().borrow().clone();
-        remove(&self.platform, &self.written, "servers", &id.unwrap_or_default()).await;
+        if let Some(id) = id {
+            remove(&self.platform, &self.written, "servers", &id).await;
+        }
     }
 
     /// Starts another gateway and waits until it is ready.
@@ -383,7 +397,8 @@
             Err(_) => return,
         };
         relay.set_down(false);
-        if let Some(entry) = entry {
+        if let Some(mut entry) = entry {
+            entry["state"] = json!("ready");
             put(&platform, &written, "servers", &back, &entry).await;
         }
     }
