--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -26,6 +26,8 @@
 pub enum Poison {
     /// A part of the prompt, but the last one; the replica crashes within the first event of its answer.
     PromptPart(String),
+    /// A path and a body; the replica crashes without an answer.
+    Request(String, Vec<u8>),
 }
 
 impl Poison {
@@ -36,6 +38,9 @@
                 let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
                 shared.split(',').any(|entry| entry.split(':').next() == Some(part))
             }
+            Self::Request(path, body) => {
+                run.request_line.split(' ').nth(1) == Some(path) && run.body == *body
+            }
         }
     }
 }
@@ -446,11 +451,13 @@
             headers.into_iter().map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
         let headers: Vec<(&str, &str)> =
             headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
-        let is_poisoned = self.state.poisons.lock().iter().any(|poison| poison.is_in(&run));
-        if is_poisoned {
+        let poison = self.state.poisons.lock().iter().find(|poison| poison.is_in(&run)).cloned();
+        if let Some(poison) = poison {
             time::sleep(self.options.response_delay).await;
-            let head = self.stream_head(&headers);
-            self.stream.write_all(format!("{head}8\r\nid: 1\nda\r\n").as_bytes()).await?;
+            if matches!(poison, Poison::PromptPart(_)) {
+                let head = self.stream_head(&headers);
+                self.stream.write_all(format!("{head}8\r\nid: 1\nda\r\n").as_bytes()).await?;
+            }
             self.state.poisoned.lock().push((Instant::now(), run.request));
             self.state.crash.notify_one();
             return std::future::pending().await;
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -452,16 +452,43 @@
     headers: &[(&str, &str)],
     max_events: usize,
 ) -> Response {
+    let req = build(client, addr, path, request, headers).body("body");
+    receive(req, max_events).await
+}
+
+/// As [`send_with`], with a body.
+pub async fn send_body(
+    client: &reqwest::Client,
+    addr: SocketAddr,
+    path: &str,
+    request: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Response {
+    let req = build(client, addr, path, request, headers).body(body.to_owned());
+    receive(req, usize::MAX).await
+}
+
+fn build(
+    client: &reqwest::Client,
+    addr: SocketAddr,
+    path: &str,
+    request: &str,
+    headers: &[(&str, &str)],
+) -> reqwest::RequestBuilder {
     let mut req = client
         .post(format!("http://{addr}{path}"))
         .header("host", ROUTE_HOST)
         .header("attempt-id", request)
         .header("deadline-ms", "4000")
-        .header("piece-key", "k")
-        .body("body");
+        .header("piece-key", "k");
     for (name, value) in headers {
         req = req.header(*name, *value);
     }
+    req
+}
+
+async fn receive(req: reqwest::RequestBuilder, max_events: usize) -> Response {
     let Ok(mut raw) = req.send().await else { return Response::default() };
     let header = |name: &str| {
         raw.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
