--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -1,7 +1,7 @@
 //! What is refused because it crashes targets. All gateways hold the same entries; those that differ are merged.
 //!
 //! Whether it still crashes targets is found out by probes: single requests that the owner of an entry grants, ever more
-//! rarely and at most [`MAX_PROBES`] of them. An entry ends with the first answer to such a request, when its crashes turn
+//! rarely and at most [`MAX_PROBES`] of them; sooner where other causes of its crashes are found later. An entry ends with the first answer to such a request, when its crashes turn
 //! out to have another cause, or when nobody has asked for [`IDLE_TIME`]. Once no target runs a software version that crashed, one more probe is granted.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::Suspect;
-use super::judge::Verdict;
+use super::judge::{Review, Verdict};
 use crate::ids::{Name, SoftwareVersion, Uptime};
 
 /// Time without a refusal after which an entry ends.
@@ -21,8 +21,8 @@
 /// may grant one probe twice.
 pub const MAX_PROBES: u32 = 2;
 /// Time from the begin of an entry to the first probe, and factor from one interval to the next.
-const FIRST_PROBE_DELAY: Duration = Duration::from_secs(60);
-const PROBE_BACKOFF: u32 = 16;
+const FIRST_PROBE_DELAY: Duration = Duration::from_secs(5);
+const PROBE_BACKOFF: u32 = 64;
 /// Time for which the end of an entry is remembered, so that no older state of it comes back from another gateway.
 const RELEASE_RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of entries; beyond it the one that would end first is dropped.
@@ -227,16 +227,29 @@
         answered.map(|entry| entry.end(now)).collect()
     }
 
-    /// Ends the entries of a pool that are refuted by what is known now.
-    pub fn retract(
+    /// Ends the entries of a pool that are refuted by what is known now, and allows an earlier probe of those that are
+    /// doubtful.
+    pub fn review(
         &mut self,
         pool: &str,
-        is_refuted: impl Fn(&BTreeSet<Suspect>) -> bool,
+        review: impl Fn(&BTreeSet<Suspect>) -> Review,
         now: Uptime,
     ) -> Vec<Entry> {
         let active = self.entries.values_mut().filter(|entry| !entry.is_released);
-        let refuted = active.filter(|entry| entry.key.0 == pool && is_refuted(&entry.key.1));
-        refuted.map(|entry| entry.end(now)).collect()
+        let of_pool = active.filter(|entry| entry.key.0 == pool);
+        let change = |entry: &mut Entry| {
+            let next_probe = now + FIRST_PROBE_DELAY * entry.probes;
+            match review(&entry.key.1) {
+                Review::Refuted => Some(entry.end(now)),
+                Review::Doubtful if entry.next_probe > next_probe => {
+                    entry.next_probe = next_probe;
+                    entry.revision += 1;
+                    Some(entry.clone())
+                }
+                Review::Doubtful | Review::Stands => None,
+            }
+        };
+        of_pool.filter_map(change).collect()
     }
 
     /// Merges the state of an entry at another gateway; returns the new state if it differs from the one before.
--- a/crates/gateway/src/poison/evidence.rs
+++ b/crates/gateway/src/poison/evidence.rs
@@ -224,18 +224,22 @@
         }
     }
     let now = boottime::now();
-    let (verdicts, retracted) = {
+    let (verdicts, reviewed) = {
         let mut judges = shared.poison.judges.lock();
         let Some(judge) = judges.get_mut(pool) else { return };
         answers.into_iter().for_each(|answer| judge.judge.record_answer(answer));
         let verdicts = judge.judge.verdicts(&asked);
-        let is_refuted = |suspects: &_| judge.judge.is_refuted(suspects, &verdicts);
-        let retracted = shared.poison.change(|all| all.retract(pool, is_refuted, now));
-        (verdicts, retracted)
+        let review = |suspects: &_| judge.judge.review(suspects, &verdicts);
+        let reviewed = shared.poison.change(|all| all.review(pool, review, now));
+        (verdicts, reviewed)
     };
-    for entry in retracted {
-        let suspects = super::text(&entry);
-        tracing::warn!(pool, suspects, "quarantine retracted; the crashes have another cause");
+    for entry in reviewed {
+        tracing::warn!(
+            pool,
+            suspects = super::text(&entry),
+            is_released = entry.is_released,
+            "the crashes of a quarantine have other causes, too"
+        );
         spread::announce(shared, &entry);
     }
     for verdict in verdicts {
