Gateway: refuse requests that crash targets when they come again

Cause: a request was known by its attempt id only, which is new each time, and nothing related a crash to what ran.

Evidence: the crashes go on where the route allows one attempt only (40 in 15 s), so they are no retries of the gateways; and the requests come to all gateways in turn, so no gateway recognised them.

The fingerprint of a request is taken over customer, method, path with query, and body. Why this works: the same request runs in each of these crashes and has no answer, while sound requests that come again have answers in between; three crashes are enough, since few requests come again as they are.

--- a/crates/core/src/poison/judge.rs
+++ b/crates/core/src/poison/judge.rs
@@ -23,6 +23,10 @@
 /// Number of crashes after which a suspect is the cause although requests with it were answered before, if it was in
 /// [`MIN_WAITING_SHARE`] of them.
 const ANSWERED_CRASHES: usize = 6;
+/// Numbers of crashes after which a whole request is the cause, if it was in [`MIN_SHARE`] of them and in any case. It
+/// crashes targets before an answer begins, and few requests come again as they are.
+const LIKELY_REQUEST_CRASHES: usize = 3;
+const CERTAIN_REQUEST_CRASHES: usize = 4;
 /// Number of crashes from which a suspect is worth a question for its answers.
 const MIN_CRASHES: usize = 2;
 /// Crashes within so short a time may have one cause beside all requests, such as the loss of a data centre. A request that
@@ -250,7 +254,9 @@
 
     fn is_certain(&self, charges: &Charges<'_>, blamed: &[Verdict]) -> bool {
         let count = charges.separated();
-        if count >= CERTAIN_CRASHES && !charges.has_answers {
+        let is_request = super::is_request(&charges.suspect);
+        let certain = if is_request { CERTAIN_REQUEST_CRASHES } else { CERTAIN_CRASHES };
+        if count >= certain && !charges.has_answers {
             return true;
         }
         let (Some(first), Some(last)) = (charges.crashes.first(), charges.crashes.last()) else {
@@ -264,6 +270,9 @@
         if charges.has_answers {
             return count >= ANSWERED_CRASHES && share >= MIN_WAITING_SHARE;
         }
+        if is_request {
+            return count >= LIKELY_REQUEST_CRASHES && share >= MIN_SHARE;
+        }
         let min_share = if charges.begun > 0 { MIN_SHARE } else { MIN_WAITING_SHARE };
         count >= LIKELY_CRASHES && share >= min_share
     }
@@ -274,7 +283,10 @@
         if verdicts.iter().any(|verdict| verdict.suspects == *suspects) {
             return Review::Stands;
         }
-        let Some(suspect) = suspects.first() else { return Review::Stands };
+        // A set with a whole request is as narrow as that request.
+        let Some(suspect) = suspects.iter().max_by_key(|suspect| super::is_request(suspect)) else {
+            return Review::Stands;
+        };
         let mut open = Charges::new(suspect);
         let mut explained = 0;
         for crash in &self.crashes {
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -68,6 +68,57 @@
     assert!(poison::suspects(&[long, "own".to_owned()])[0].len() < 100);
 }
 
+#[test]
+fn request_tells_requests_apart() {
+    let of = |customer, method, path, body: &str| {
+        poison::request(customer, method, path, body.as_bytes())
+    };
+    let request = of(Some("a"), "POST", "/x?y=1", "body");
+    assert_eq!(request, of(Some("a"), "POST", "/x?y=1", "body"));
+    assert!(poison::is_request(&request));
+    assert!(!poison::is_request(&poison::suspects(&names(&["request ", "own"]))[0]));
+    let others = [
+        of(Some("b"), "POST", "/x?y=1", "body"),
+        of(None, "POST", "/x?y=1", "body"),
+        of(Some("a"), "GET", "/x?y=1", "body"),
+        of(Some("a"), "POST", "/x?y=2", "body"),
+        of(Some("a"), "POST", "/x?y=1", "bodY"),
+        of(Some("a"), "POST", "/x?y=", "1body"),
+        of(Some(""), "aPOST", "/x?y=1", "body"),
+    ];
+    for other in others {
+        assert_ne!(request, other);
+    }
+}
+
+/// The third crash under a request should be the last.
+#[test]
+fn verdicts_blame_a_request_after_three_crashes() {
+    for crashes in 1..=3 {
+        let judge = judge((1..=crashes).map(|at| crash(at, &[waiting(&["request 1"])])));
+        assert_eq!(blamed(&judge).len(), usize::from(crashes == 3), "after {crashes}");
+    }
+}
+
+/// A request that came again is the cause of few of many crashes.
+#[test]
+fn verdicts_need_more_crashes_of_a_request_among_many_others() {
+    for crashes in 1..=4 {
+        let others = (10..100).map(|at| crash(at, &[waiting(&[&format!("request s{at}")])]));
+        let own = (1..=crashes).map(|at| crash(at * 15, &[waiting(&["request 1"])]));
+        let judge = judge(others.chain(own));
+        assert_eq!(blamed(&judge).len(), usize::from(crashes == 4), "after {crashes}");
+    }
+}
+
+/// A bad part is found behind the requests that hold it, also if one of them came again.
+#[test]
+fn verdicts_prefer_the_part_to_the_requests_with_it() {
+    let run = |at: u64| begun(&["part bad", &format!("request {}", at.min(3))]);
+    let judge = judge((1..=6).map(|at| crash(at, &[run(at)])));
+    assert_eq!(blamed(&judge), [set(&["part bad"])]);
+}
+
 /// A part of nearly all prompts runs in every crash; answers between the crashes show that it is sound.
 #[test]
 fn verdicts_name_the_part_without_answers() {
--- a/crates/gateway/src/attempts/quarantined.rs
+++ b/crates/gateway/src/attempts/quarantined.rs
@@ -4,6 +4,7 @@
 
 use futures::future;
 use http::StatusCode;
+use marigold_core::poison as core_poison;
 use marigold_core::poison::quarantine::Entry;
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -43,11 +44,12 @@
 
     pub(super) fn quarantine_failure(&self, entry: &Entry) -> Failure {
         poison::on_refusal(&self.shared, entry);
-        let reason = format!(
-            "the request is refused because requests with the same {} crashed {} targets",
-            poison::text(entry),
-            entry.crashes
-        );
+        let (suspects, crashes) = (poison::text(entry), entry.crashes);
+        let reason = if entry.key.1.iter().any(|suspect| core_poison::is_request(suspect)) {
+            format!("the same request crashed {crashes} targets and is refused ({suspects})")
+        } else {
+            format!("requests with the same {suspects} crashed {crashes} targets and are refused")
+        };
         if self.runs > 0 {
             return Failure::new(StatusCode::BAD_GATEWAY, reason);
         }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -12,10 +12,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use marigold_core::ids::{Incarnation, Name, Uptime};
-use marigold_core::poison::Suspect;
 use marigold_core::poison::answers::AnswerLog;
 use marigold_core::poison::judge::Judge;
 use marigold_core::poison::quarantine::{Entry, Quarantines};
+use marigold_core::poison::{self, Suspect};
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::CrashReport;
@@ -44,7 +44,10 @@
 /// Evidence and quarantines of a gateway.
 #[derive(Default)]
 pub(crate) struct Poison {
+    /// Answers to requests with parts of prompts.
     answers: Mutex<AnswerLog>,
+    /// Answers to whole requests, which would push out those with parts.
+    request_answers: Mutex<AnswerLog>,
     reports: Mutex<Vec<SentReport>>,
     judges: Mutex<HashMap<Name, PoolJudge>>,
     quarantines: Mutex<Quarantines>,
@@ -98,7 +101,12 @@
         return;
     }
     let (poison, now) = (&shared.poison, boottime::now());
-    poison.answers.lock().record(pool, version, customer, suspects, now);
+    let parts_end = suspects.partition_point(|suspect| !poison::is_request(suspect));
+    let (parts, requests) = suspects.split_at(parts_end);
+    if !parts.is_empty() {
+        poison.answers.lock().record(pool, version, customer, parts, now);
+    }
+    poison.request_answers.lock().record(pool, version, customer, requests, now);
     if !poison.has_quarantines.load(Ordering::Relaxed) {
         return;
     }
--- a/crates/gateway/src/poison/evidence.rs
+++ b/crates/gateway/src/poison/evidence.rs
@@ -260,7 +260,8 @@
 /// Answers the question of a judge from the answers that this gateway remembers.
 pub(crate) fn answer<D: Dialect, S>(shared: &Shared<D, S>, query: &AnswerQuery) -> AnswerAges {
     let now = boottime::now();
-    let found = shared.poison.answers.lock().find(&query.pool, &query.suspects);
+    let mut found = shared.poison.answers.lock().find(&query.pool, &query.suspects);
+    found.extend(shared.poison.request_answers.lock().find(&query.pool, &query.suspects));
     let age = |answer: Answer| AnswerAge {
         age_ms: now.saturating_sub(answer.at).as_millis() as u64,
         suspect: answer.suspect,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -162,7 +163,10 @@
     let body = read_body(parts, body, &adopted.routing.limits, timeout).await?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
-    let suspects = poison::suspects(&head.prompt_parts).into();
+    let mut suspects = poison::suspects(&head.prompt_parts);
+    let path = parts.uri.path_and_query().map_or(parts.uri.path(), PathAndQuery::as_str);
+    let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
+    suspects.push(poison::request(customer_name, parts.method.as_str(), path, &body));
     Ok(Attempts {
         shared: shared.clone(),
         adopted,
@@ -174,7 +178,7 @@
         uri: parts.uri.clone(),
         headers: attempts::end_to_end_headers(&parts.headers),
         body,
-        suspects,
+        suspects: suspects.into(),
         arrived: guard.arrived,
         deadline,
         runs: 0,
