--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -19,15 +19,23 @@
 pub const IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Maximum number of probes of an entry, besides those of new software versions. Two gateways that disagree on the owner
 /// may grant one probe twice.
-pub const MAX_PROBES: u32 = 2;
-/// Time from the begin of an entry to the first probe, and factor from one interval to the next.
-const FIRST_PROBE_DELAY: Duration = Duration::from_secs(5);
-const PROBE_BACKOFF: u32 = 64;
+pub const MAX_PROBES: u32 = PROBE_DELAYS_MS.len() as u32;
+/// Time before each probe, from the begin of the entry or the probe before. The first one ends wrong verdicts soon, and comes
+/// before the users count what still reaches targets.
+const PROBE_DELAYS_MS: [u64; 2] = [1_500, 60_000];
+/// Time before a further probe of a doubtful verdict.
+const PROBE_DELAY_IN_DOUBT: Duration = Duration::from_secs(5);
 /// Time for which the end of an entry is remembered, so that no older state of it comes back from another gateway.
 const RELEASE_RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of entries; beyond it the one that would end first is dropped.
 const MAX_ENTRIES: usize = 256;
 
+/// Returns the time before the next probe after so many; it does not matter after the last one.
+fn probe_delay(probes: u32) -> Duration {
+    let delay_ms = PROBE_DELAYS_MS.get(probes as usize).copied();
+    delay_ms.map_or(IDLE_TIME, Duration::from_millis)
+}
+
 /// Pool and suspects of an entry.
 pub type Key = (Name, BTreeSet<Suspect>);
 
@@ -154,7 +162,7 @@
             revision: known.map_or(0, |entry| entry.revision) + 1,
             is_released: false,
             probes: known.map_or(0, |entry| entry.probes),
-            next_probe: active.map_or(now + FIRST_PROBE_DELAY, |entry| entry.next_probe),
+            next_probe: active.map_or(now + probe_delay(0), |entry| entry.next_probe),
             expires: now + IDLE_TIME,
             key,
         };
@@ -179,6 +187,12 @@
         found.min_by_key(|entry| entry.key.1.len())
     }
 
+    /// Returns whether a request may probe an entry: no other one refuses it, which could be the cause of its failure.
+    pub fn can_probe(&self, key: &Key, suspects: &[Suspect], now: Uptime) -> bool {
+        let entries = self.entries.values().filter(|entry| entry.key != *key);
+        !entries.into_iter().any(|entry| now < entry.expires && entry.applies_to(&key.0, suspects))
+    }
+
     /// Keeps an entry because a request was refused; returns it if the others have to be told.
     pub fn renew(&mut self, key: &Key, now: Uptime) -> Option<Entry> {
         let entry = self.entries.get_mut(key)?;
@@ -206,8 +220,7 @@
         } else {
             entry.probes += 1;
         }
-        let interval = FIRST_PROBE_DELAY * PROBE_BACKOFF.saturating_pow(entry.probes);
-        entry.next_probe = now + interval;
+        entry.next_probe = now + probe_delay(entry.probes);
         entry.expires = now + IDLE_TIME;
         entry.revision += 1;
         Some(entry.clone())
@@ -238,7 +251,7 @@
         let active = self.entries.values_mut().filter(|entry| !entry.is_released);
         let of_pool = active.filter(|entry| entry.key.0 == pool);
         let change = |entry: &mut Entry| {
-            let next_probe = now + FIRST_PROBE_DELAY * entry.probes;
+            let next_probe = now + PROBE_DELAY_IN_DOUBT * entry.probes;
             match review(&entry.key.1) {
                 Review::Refuted => Some(entry.end(now)),
                 Review::Doubtful if entry.next_probe > next_probe => {
--- a/crates/gateway/src/attempts/quarantined.rs
+++ b/crates/gateway/src/attempts/quarantined.rs
@@ -30,7 +30,8 @@
     /// A refusal.
     pub(crate) async fn check_quarantine(&mut self) -> Result<(), Failure> {
         let Some(entry) = self.quarantine() else { return Ok(()) };
-        self.is_probe = spread::ask_probe(&self.shared, &entry).await;
+        let can_probe = self.shared.poison.can_probe(&entry, &self.suspects, boottime::now());
+        self.is_probe = can_probe && spread::ask_probe(&self.shared, &entry).await;
         if self.is_probe { Ok(()) } else { Err(self.quarantine_failure(&entry)) }
     }
 
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -71,6 +71,11 @@
         self.quarantines.lock().find(pool, suspects, now).cloned()
     }
 
+    /// Returns whether a request with `suspects` may find out if a quarantine is still needed.
+    pub(crate) fn can_probe(&self, entry: &Entry, suspects: &[Suspect], now: Uptime) -> bool {
+        self.quarantines.lock().can_probe(&entry.key, suspects, now)
+    }
+
     /// Returns a hash of the quarantines, zero without any.
     pub(crate) fn digest(&self) -> u64 {
         if !self.has_quarantines.load(Ordering::Relaxed) {
