Demo: take ports that no outgoing connection gets

The demo bound port 0, closed the socket and bound the port again; in between a connection of another process had got it, from the same range. It now takes ports below that range, as the test clusters do. The race has no test of its own; both demos pass beside a soak.

--- a/crates/marigold/src/demo/cluster.rs
+++ b/crates/marigold/src/demo/cluster.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -31,6 +33,11 @@
 /// Time within which all entries together have to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Ports of the demo, below those that operating systems give to outgoing connections.
+const PORTS: Range<u16> = 10_000..32_000;
+/// Serial of the next port to try, before the offset of the process.
+static NEXT_SERIAL: AtomicU32 = AtomicU32::new(0);
+
 enum StandIn {
     Engine(Arc<Engine>),
     Service(Arc<Service>),
@@ -45,8 +52,15 @@
     urls: Vec<String>,
 }
 
+/// Returns an unused loopback address, on a port that no outgoing connection takes before it is bound.
 fn free_addr() -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").context("looking for a free port")?;
+    let offset = std::process::id().wrapping_mul(977);
+    let count = PORTS.end - PORTS.start;
+    let bind = |_| {
+        let serial = NEXT_SERIAL.fetch_add(1, Ordering::Relaxed).wrapping_add(offset);
+        TcpListener::bind(("127.0.0.1", PORTS.start + (serial % u32::from(count)) as u16)).ok()
+    };
+    let listener = (0..count).find_map(bind).context("looking for a free port")?;
     listener.local_addr().context("looking for a free port")
 }
 
