--- a/crates/core/src/poison/judge.rs
+++ b/crates/core/src/poison/judge.rs
@@ -92,6 +92,10 @@
 }
 
 impl Crash {
+    fn suspects(&self) -> BTreeSet<&Suspect> {
+        self.runs.iter().flat_map(|run| &run.suspects).collect()
+    }
+
     /// Returns whether a suspect ran, or `None` if it did not; the value tells whether an answer with it had begun.
     fn find(&self, suspect: &Suspect) -> Option<bool> {
         let runs = self.runs.iter().filter(|run| run.suspects.binary_search(suspect).is_ok());
@@ -194,7 +198,7 @@
         if self.answers.len() <= MAX_ANSWERS {
             return;
         }
-        let suspects: BTreeSet<Suspect> = self.all_suspects().into_iter().cloned().collect();
+        let suspects: BTreeSet<&Suspect> = self.crashes.iter().flat_map(Crash::suspects).collect();
         self.answers.retain(|(suspect, _), _| suspects.contains(suspect));
     }
 
@@ -206,9 +210,16 @@
 
     /// Returns the suspects whose answers decide, those with the most crashes first.
     pub fn suspects_to_ask(&self) -> Vec<Suspect> {
-        let mut suspects: Vec<(usize, &Suspect)> = self
-            .all_suspects()
-            .into_iter()
+        // Most suspects were lost to one crash only.
+        let mut counts: BTreeMap<&Suspect, usize> = BTreeMap::new();
+        for crash in &self.crashes {
+            for suspect in crash.suspects() {
+                *counts.entry(suspect).or_default() += 1;
+            }
+        }
+        counts.retain(|_, crashes| *crashes >= MIN_CRASHES);
+        let mut suspects: Vec<(usize, &Suspect)> = counts
+            .into_keys()
             .map(|suspect| (self.charges(suspect, &[]).separated(), suspect))
             .filter(|(crashes, _)| *crashes >= MIN_CRASHES)
             .collect();
@@ -216,11 +227,6 @@
         suspects.into_iter().take(MAX_ASKED).map(|(_, suspect)| suspect.clone()).collect()
     }
 
-    fn all_suspects(&self) -> BTreeSet<&Suspect> {
-        let runs = self.crashes.iter().flat_map(|crash| &crash.runs);
-        runs.flat_map(|run| &run.suspects).collect()
-    }
-
     /// Returns the crashes that speak against a suspect: those to which requests with it were lost, after the last
     /// answer to such a request, unless one of `blamed` explains them.
     fn charges(&self, suspect: &Suspect, blamed: &[Verdict]) -> Charges<'_> {
