Quarantines: one probe for each new software version; reviews by judges that know all crashes

A probe is granted when no target runs a version that crashed, and the versions of the entry were replaced by those that are listed then. While targets of two versions crash and come back, either is listed alone at times, so that four probes were granted in 5 s. The versions are added now.

A judge that had restarted and knew one of the entry's four crashes found another cause for that one, and released the entry. A judge reviews an entry only if it knows as many crashes as the verdict was based on.

--- a/crates/core/src/poison/judge.rs
+++ b/crates/core/src/poison/judge.rs
@@ -293,9 +293,15 @@
             || (count >= BEGUN_CRASHES && share >= LOW_SHARE && has_begun)
     }
 
-    /// Returns what `verdicts` mean for requests with all of `suspects`, which were blamed before. Two causes that come with
-    /// one sound part may blame that one first.
-    pub fn review(&self, suspects: &BTreeSet<Suspect>, verdicts: &[Verdict]) -> Review {
+    /// Returns what `verdicts` mean for requests with all of `suspects`, which were blamed for a number of crashes before. Two
+    /// causes that come with one sound part may blame that one first. The verdict stands if this judge does not know all of
+    /// these crashes.
+    pub fn review(
+        &self,
+        suspects: &BTreeSet<Suspect>,
+        crashes: usize,
+        verdicts: &[Verdict],
+    ) -> Review {
         if verdicts.iter().any(|verdict| verdict.suspects == *suspects) {
             return Review::Stands;
         }
@@ -315,7 +321,8 @@
                 open.begun += usize::from(has_begun);
             }
         }
-        if explained == 0 || self.is_certain(&open, verdicts) {
+        let is_known = explained + open.crashes.len() >= crashes;
+        if !is_known || explained == 0 || self.is_certain(&open, verdicts) {
             Review::Stands
         } else if open.crashes.is_empty() {
             Review::Refuted
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -216,7 +216,7 @@
             return None;
         }
         if entry.versions.is_disjoint(listed) {
-            entry.versions.clone_from(listed);
+            entry.versions.extend(listed.iter().cloned());
         } else {
             entry.probes += 1;
         }
@@ -245,14 +245,14 @@
     pub fn review(
         &mut self,
         pool: &str,
-        review: impl Fn(&BTreeSet<Suspect>) -> Review,
+        review: impl Fn(&Entry) -> Review,
         now: Uptime,
     ) -> Vec<Entry> {
         let active = self.entries.values_mut().filter(|entry| !entry.is_released);
         let of_pool = active.filter(|entry| entry.key.0 == pool);
         let change = |entry: &mut Entry| {
             let next_probe = now + PROBE_DELAY_IN_DOUBT * entry.probes;
-            match review(&entry.key.1) {
+            match review(entry) {
                 Review::Refuted => Some(entry.end(now)),
                 Review::Doubtful if entry.next_probe > next_probe => {
                     entry.next_probe = next_probe;
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -290,12 +290,15 @@
     }
     let verdicts = judge.verdicts(&judge.suspects_to_ask());
     assert_eq!(verdicts.len(), 2);
-    assert_eq!(judge.review(&set(&["sound"]), &verdicts), Review::Refuted);
-    assert_eq!(judge.review(&set(&["bad-0"]), &verdicts), Review::Stands);
-    assert_eq!(judge.review(&set(&["unknown"]), &verdicts), Review::Stands);
+    assert_eq!(judge.review(&set(&["sound"]), 5, &verdicts), Review::Refuted);
+    assert_eq!(judge.review(&set(&["bad-0"]), 5, &verdicts), Review::Stands);
+    assert_eq!(judge.review(&set(&["unknown"]), 5, &verdicts), Review::Stands);
+    // Another judge knew of crashes that this one does not know.
+    assert_eq!(judge.review(&set(&["sound"]), 6, &verdicts), Review::Stands);
     let now = secs(18);
     let (mut quarantines, _) = quarantined(&["sound"], now);
-    let reviewed = quarantines.review("pool", |key| judge.review(key, &verdicts), now);
+    let review = |entry: &Entry| judge.review(&entry.key.1, 5, &verdicts);
+    let reviewed = quarantines.review("pool", review, now);
     assert_eq!(reviewed.len(), 1);
     assert!(quarantines.find("pool", &names(&["sound"]), now).is_none());
 }
@@ -307,7 +310,7 @@
     let mut judge = judge(with_bad);
     judge.record(crash(9, &[waiting(&["doubtful"])]), secs(9));
     let verdicts = judge.verdicts(&judge.suspects_to_ask());
-    assert_eq!(judge.review(&set(&["doubtful"]), &verdicts), Review::Doubtful);
+    assert_eq!(judge.review(&set(&["doubtful"]), 4, &verdicts), Review::Doubtful);
     let now = secs(10);
     let (mut quarantines, entry) = quarantined(&["doubtful"], now);
     let listed = set(&["v1"]);
@@ -445,6 +448,9 @@
     assert!(!grant(&[]));
     assert!(grant(&["v2"]));
     assert!(!grant(&["v2"]));
+    // Targets of either version come and go.
+    assert!(!grant(&["v1"]));
+    assert!(!grant(&["v2"]));
 }
 
 #[test]
--- a/crates/core/tests/poison_random.rs
+++ b/crates/core/tests/poison_random.rs
@@ -174,13 +174,13 @@
             }
             let verdicts = judge.verdicts(&judge.suspects_to_ask());
             for suspects in &blamed {
-                if judge.review(suspects, &verdicts) == Review::Doubtful
+                if judge.review(suspects, 0, &verdicts) == Review::Doubtful
                     && let Some((sent, next)) = probes.get_mut(suspects)
                 {
                     *next = (*next).min(step + 500 * *sent);
                 }
             }
-            blamed.retain(|suspects| judge.review(suspects, &verdicts) != Review::Refuted);
+            blamed.retain(|suspects| judge.review(suspects, 0, &verdicts) != Review::Refuted);
             for verdict in verdicts {
                 probes.entry(verdict.suspects.clone()).or_insert((0, step + PROBE_STEPS));
                 blamed.insert(verdict.suspects);
--- a/crates/gateway/src/poison/evidence.rs
+++ b/crates/gateway/src/poison/evidence.rs
@@ -9,6 +9,7 @@
 use marigold_core::poison::Suspect;
 use marigold_core::poison::answers::Answer;
 use marigold_core::poison::judge::{Evidence, LostRun};
+use marigold_core::poison::quarantine::Entry;
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::{self, AnswerAge, AnswerAges, AnswerQuery, CrashReport};
@@ -229,7 +230,8 @@
         let Some(judge) = judges.get_mut(pool) else { return };
         answers.into_iter().for_each(|answer| judge.judge.record_answer(answer));
         let verdicts = judge.judge.verdicts(&asked);
-        let review = |suspects: &_| judge.judge.review(suspects, &verdicts);
+        let review =
+            |entry: &Entry| judge.judge.review(&entry.key.1, entry.crashes as usize, &verdicts);
         let reviewed = shared.poison.change(|all| all.review(pool, review, now));
         (verdicts, reviewed)
     };
