--- a/crates/core/src/poison/judge.rs
+++ b/crates/core/src/poison/judge.rs
@@ -23,9 +23,9 @@
 const LOW_SHARE: f64 = 0.4;
 /// Number of crashes after which a suspect is the cause in any case.
 const CERTAIN_CRASHES: usize = 6;
-/// Number of crashes after which a suspect is the cause although requests with it were answered before, if it was in
-/// [`HIGH_SHARE`] of them.
-const ANSWERED_CRASHES: usize = 6;
+/// Number of crashes after which a suspect is the cause although requests with it were answered before, or a whole request
+/// although its prompts differ, if it was in [`HIGH_SHARE`] of them.
+const MOST_CRASHES: usize = 6;
 /// As [`LIKELY_CRASHES`] and [`CERTAIN_CRASHES`], for a whole request without a prompt. It crashes targets before an answer
 /// begins, and few requests come again as they are.
 const LIKELY_REQUEST_CRASHES: usize = 3;
@@ -270,9 +270,11 @@
 
     fn is_certain(&self, charges: &Charges<'_>, blamed: &[Verdict]) -> bool {
         let count = charges.separated();
-        let is_request = super::is_request(&charges.suspect) && !charges.has_parts;
+        let is_request = super::is_request(&charges.suspect);
+        // Requests with one body and different prompts may differ in what crashes targets.
+        let needs_most = charges.has_answers || (is_request && charges.has_parts);
         let certain = if is_request { CERTAIN_REQUEST_CRASHES } else { CERTAIN_CRASHES };
-        if count >= certain && !charges.has_answers {
+        if count >= certain && !needs_most {
             return true;
         }
         let (Some(first), Some(last)) = (charges.crashes.first(), charges.crashes.last()) else {
@@ -283,12 +285,12 @@
         };
         let open = self.crashes.iter().filter(is_open).count();
         let share = charges.crashes.len() as f64 / open.max(1) as f64;
-        let likely = match (charges.has_answers, is_request) {
-            (true, _) => ANSWERED_CRASHES,
+        let likely = match (needs_most, is_request) {
+            (true, _) => MOST_CRASHES,
             (false, true) => LIKELY_REQUEST_CRASHES,
             (false, false) => LIKELY_CRASHES,
         };
-        let has_begun = !charges.has_answers && !is_request && charges.begun > 0;
+        let has_begun = !needs_most && !is_request && charges.begun > 0;
         (count >= likely && share >= HIGH_SHARE)
             || (count >= BEGUN_CRASHES && share >= LOW_SHARE && has_begun)
     }
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -114,10 +114,10 @@
 /// Requests with one body and different prompts may differ in what crashes targets.
 #[test]
 fn verdicts_need_more_crashes_of_a_request_with_a_prompt() {
-    for crashes in 1..=4 {
+    for crashes in 1..=6 {
         let run = |at: u64| begun(&[&format!("part {at}"), "request 1"]);
         let judge = judge((1..=crashes).map(|at| crash(at, &[run(at)])));
-        assert_eq!(blamed(&judge).len(), usize::from(crashes == 4), "after {crashes}");
+        assert_eq!(blamed(&judge).len(), usize::from(crashes == 6), "after {crashes}");
     }
 }
 
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -29,6 +29,9 @@
 /// Time after a crash of a replica after which its entry expires: three heartbeats.
 const EXPIRY: Duration = Duration::from_millis(1_200);
 
+/// States with which replicas come back after a crash, by number; `None` for one that has left.
+type StatesAfterCrash = BTreeMap<usize, Option<String>>;
+
 /// Objects in the store by kind and name; `None` after a removal.
 type Written = BTreeMap<(String, String), Option<Value>>;
 
@@ -69,6 +72,7 @@
     replica_starts: Vec<u64>,
     /// What the operator and the replicas wrote last, by kind and name; `None` after a removal.
     written: Arc<Mutex<Written>>,
+    states_after_crash: Arc<Mutex<StatesAfterCrash>>,
     /// Tasks that keep the entries of replicas that crash.
     entry_keepers: tokio::task::JoinSet<()>,
     store_addr: SocketAddr,
@@ -111,6 +115,7 @@
             replica_versions: vec![DEFAULT_VERSION.to_owned(); replicas],
             replica_starts: vec![1; replicas],
             written: Arc::default(),
+            states_after_crash: Arc::default(),
             entry_keepers: tokio::task::JoinSet::new(),
             store_addr: addr,
             _server: server,
@@ -119,9 +124,14 @@
         for number in 0..replicas {
             let replica = spawn_replica(&format!("app-{number}"));
             let relay = Relay::spawn(replica.addr()).await;
-            let (platform, written) = (cluster.platform.clone(), cluster.written.clone());
-            let keeper = keep_entry(replica.id(), relay.clone(), platform, written);
-            cluster.entry_keepers.spawn(keeper);
+            let keeper = EntryKeeper {
+                number,
+                relay: relay.clone(),
+                platform: cluster.platform.clone(),
+                written: cluster.written.clone(),
+                states_after_crash: cluster.states_after_crash.clone(),
+            };
+            cluster.entry_keepers.spawn(keeper.run(replica.id()));
             cluster.replica_relays.push(relay);
             cluster.replicas.push(replica);
             cluster.set_replica_state(number, "ready").await;
@@ -217,12 +227,18 @@
         let mut spec = server_spec("app", self.replica_relays[number].addr(), version, state);
         spec["born"] = json!(self.replica_starts[number]);
         let id = self.replicas[number].id().borrow().clone();
-        // A replica that has crashed comes back as ready.
+        self.set_state_after_crash(number, Some(state));
         if let Some(id) = id {
             self.put("servers", &id, &spec).await;
         }
     }
 
+    /// Sets the state with which a replica comes back after a crash, or that it does not.
+    fn set_state_after_crash(&self, number: usize, state: Option<&str>) {
+        let mut states = self.states_after_crash.lock().expect("no panic under the lock");
+        states.insert(number, state.map(str::to_owned));
+    }
+
     /// Publishes another start of a replica of the pool `app` under its id, with a software version.
     pub async fn set_replica_version(&mut self, number: usize, version: &str) {
         self.replica_versions[number] = version.to_owned();
@@ -242,6 +258,7 @@
     /// Removes the entry of a replica of the pool `app`.
     pub async fn remove_replica(&self, number: usize) {
         let id = self.replicas[number].id().borrow().clone();
+        self.set_state_after_crash(number, None);
         if let Some(id) = id {
             remove(&self.platform, &self.written, "servers", &id).await;
         }
@@ -374,34 +391,49 @@
     removed.expect("the in-memory store accepts a removal");
 }
 
-/// Takes the relay of a replica down while the replica is gone after a crash, lets the entry in the store expire, and
-/// writes one for the ID under which the replica comes back.
-async fn keep_entry(
-    mut id: watch::Receiver<Option<String>>,
+/// Keeps the entry of a replica that may crash.
+struct EntryKeeper {
+    number: usize,
     relay: Relay,
     platform: Arc<Platform>,
     written: Arc<Mutex<Written>>,
-) {
-    loop {
-        let Some(gone) = id.borrow_and_update().clone() else { return };
-        if id.wait_for(Option::is_none).await.is_err() {
-            return;
-        }
-        relay.set_down(true);
-        tokio::time::sleep(EXPIRY).await;
-        let key = ("servers".to_owned(), gone.clone());
-        let entry = written.lock().expect("no panic under the lock").get(&key).cloned().flatten();
-        remove(&platform, &written, "servers", &gone).await;
-        let back = match id.wait_for(Option::is_some).await {
-            Ok(back) => back.clone().unwrap_or_default(),
-            Err(_) => return,
-        };
-        relay.set_down(false);
-        if let Some(mut entry) = entry {
-            entry["state"] = json!("ready");
-            put(&platform, &written, "servers", &back, &entry).await;
+    states_after_crash: Arc<Mutex<StatesAfterCrash>>,
+}
+
+impl EntryKeeper {
+    /// Takes the relay of the replica down while it is gone after a crash, lets the entry in the store expire, and writes one
+    /// for the ID under which the replica comes back.
+    async fn run(self, mut id: watch::Receiver<Option<String>>) {
+        loop {
+            let Some(gone) = id.borrow_and_update().clone() else { return };
+            if id.wait_for(Option::is_none).await.is_err() {
+                return;
+            }
+            self.relay.set_down(true);
+            tokio::time::sleep(EXPIRY).await;
+            let entry = self.written_entry(&gone);
+            remove(&self.platform, &self.written, "servers", &gone).await;
+            let back = match id.wait_for(Option::is_some).await {
+                Ok(back) => back.clone().unwrap_or_default(),
+                Err(_) => return,
+            };
+            self.relay.set_down(false);
+            if let (Some(mut entry), Some(state)) = (entry, self.state_after_crash()) {
+                entry["state"] = json!(state);
+                put(&self.platform, &self.written, "servers", &back, &entry).await;
+            }
         }
     }
+
+    fn written_entry(&self, id: &str) -> Option<Value> {
+        let written = self.written.lock().expect("no panic under the lock");
+        written.get(&("servers".to_owned(), id.to_owned())).cloned().flatten()
+    }
+
+    fn state_after_crash(&self) -> Option<String> {
+        let states = self.states_after_crash.lock().expect("no panic under the lock");
+        states.get(&self.number).cloned().flatten()
+    }
 }
 
 fn spawn_replica(id: &str) -> Replica {
