--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -1,8 +1,9 @@
 //! What is refused because it crashes targets. All gateways hold the same entries; those that differ are merged.
 //!
 //! Whether it still crashes targets is found out by probes: single requests that the owner of an entry grants, ever more
-//! rarely and at most [`MAX_PROBES`] of them; sooner where other causes of its crashes are found later. An entry ends with the first answer to such a request, when its crashes turn
-//! out to have another cause, or when nobody has asked for [`IDLE_TIME`]. After these probes, one more is granted once no target runs a software version that crashed.
+//! rarely and at most [`MAX_PROBES`] of them, sooner where other causes of its crashes are found later. After these, one more
+//! is granted once no target runs a software version that crashed. An entry ends with the first answer to such a request,
+//! when its crashes turn out to have another cause, or when nobody has asked for [`IDLE_TIME`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash as _, Hasher as _};
@@ -20,8 +21,7 @@
 /// Maximum number of probes of an entry, besides those of new software versions. Two gateways that disagree on the owner
 /// may grant one probe twice.
 pub const MAX_PROBES: u32 = PROBE_DELAYS_MS.len() as u32;
-/// Time before each probe, from the begin of the entry or the probe before. The first one ends wrong verdicts soon, and comes
-/// before the users count what still reaches targets.
+/// Time before each probe, from the begin of the entry or the probe before. The first one ends wrong verdicts soon.
 const PROBE_DELAYS_MS: [u64; 2] = [1_500, 60_000];
 /// Time before a further probe of a doubtful verdict.
 const PROBE_DELAY_IN_DOUBT: Duration = Duration::from_secs(5);
