Blame a request with a prompt that comes again after three crashes, not six

Cause: the fingerprint of a request left out its prompt. The fingerprint now holds all parts of the prompt; the request without its prompt stays a suspect of its own with six crashes.

Ruled out: lowering the threshold alone, which blames sound requests with equal bodies.

--- a/crates/core/src/poison/judge.rs
+++ b/crates/core/src/poison/judge.rs
@@ -23,11 +23,11 @@
 const LOW_SHARE: f64 = 0.4;
 /// Number of crashes after which a suspect is the cause in any case.
 const CERTAIN_CRASHES: usize = 6;
-/// Number of crashes after which a suspect is the cause although requests with it were answered before, or a whole request
+/// Number of crashes after which a suspect is the cause although requests with it were answered before, or a request body
 /// although its prompts differ, if it was in [`HIGH_SHARE`] of them.
 const MOST_CRASHES: usize = 6;
-/// As [`LIKELY_CRASHES`] and [`CERTAIN_CRASHES`], for a whole request without a prompt. It crashes targets before an answer
-/// begins, and few requests come again as they are.
+/// As [`LIKELY_CRASHES`] and [`CERTAIN_CRASHES`], for a whole request, since few requests come again as they are. If its
+/// answer had begun in most of the crashes, [`LOW_SHARE`] is enough.
 const LIKELY_REQUEST_CRASHES: usize = 3;
 const CERTAIN_REQUEST_CRASHES: usize = 4;
 /// Number of crashes from which a suspect is worth a question for its answers.
@@ -109,12 +109,6 @@
         ran.is_some_and(|ran| self.at.saturating_sub(ran) + CLOCK_ERROR >= at)
     }
 
-    /// Returns whether a request with a suspect had others as well.
-    fn has_others(&self, suspect: &Suspect) -> bool {
-        let runs = self.runs.iter().filter(|run| run.suspects.len() > 1);
-        runs.into_iter().any(|run| run.suspects.binary_search(suspect).is_ok())
-    }
-
     /// As [`Self::find`], for a request that has all of `suspects`.
     fn find_all(&self, suspects: &BTreeSet<Suspect>) -> Option<bool> {
         let has_all = |run: &&LostRun| {
@@ -238,7 +232,6 @@
                 let key = (suspect.clone(), crash.version.clone());
                 self.answers.get(&key).copied().unwrap_or_default()
             });
-            charges.has_parts |= crash.has_others(suspect);
             charges.has_answers |= last_answer > Uptime::ZERO;
             if last_answer < crash.at && !crash.is_explained(has_begun, blamed) {
                 charges.crashes.push(crash);
@@ -270,11 +263,8 @@
 
     fn is_certain(&self, charges: &Charges<'_>, blamed: &[Verdict]) -> bool {
         let count = charges.separated();
-        let is_request = super::is_request(&charges.suspect);
-        // Requests with one body and different prompts may differ in what crashes targets.
-        let needs_most = charges.has_answers || (is_request && charges.has_parts);
-        let certain = if is_request { CERTAIN_REQUEST_CRASHES } else { CERTAIN_CRASHES };
-        if count >= certain && !needs_most {
+        let thresholds = charges.thresholds();
+        if thresholds.certain.is_some_and(|certain| count >= certain) {
             return true;
         }
         let (Some(first), Some(last)) = (charges.crashes.first(), charges.crashes.last()) else {
@@ -285,14 +275,8 @@
         };
         let open = self.crashes.iter().filter(is_open).count();
         let share = charges.crashes.len() as f64 / open.max(1) as f64;
-        let likely = match (needs_most, is_request) {
-            (true, _) => MOST_CRASHES,
-            (false, true) => LIKELY_REQUEST_CRASHES,
-            (false, false) => LIKELY_CRASHES,
-        };
-        let has_begun = !needs_most && !is_request && charges.begun > 0;
-        (count >= likely && share >= HIGH_SHARE)
-            || (count >= BEGUN_CRASHES && share >= LOW_SHARE && has_begun)
+        (count >= thresholds.likely && share >= HIGH_SHARE)
+            || (thresholds.begun.is_some_and(|begun| count >= begun) && share >= LOW_SHARE)
     }
 
     /// Returns what `verdicts` mean for requests with all of `suspects`, which were blamed for a number of crashes before. Two
@@ -318,7 +302,6 @@
             if crash.is_explained(has_begun, verdicts) {
                 explained += 1;
             } else {
-                open.has_parts |= crash.has_others(suspect);
                 open.crashes.push(crash);
                 open.begun += usize::from(has_begun);
             }
@@ -378,14 +361,22 @@
     begun: usize,
     /// Whether requests with the suspect were answered before, at a version of these targets.
     has_answers: bool,
-    /// Whether the suspect ran together with others, which may be the cause as well.
-    has_parts: bool,
+}
+
+/// Numbers of crashes after which a suspect is the cause.
+struct Thresholds {
+    /// If it was in [`HIGH_SHARE`] of the crashes since its first one.
+    likely: usize,
+    /// If it was in [`LOW_SHARE`] of them; none if too few answers with it had begun.
+    begun: Option<usize>,
+    /// In any case.
+    certain: Option<usize>,
 }
 
 impl Charges<'_> {
     fn new(suspect: &Suspect) -> Self {
         let suspect = suspect.clone();
-        Self { suspect, crashes: Vec::new(), begun: 0, has_answers: false, has_parts: false }
+        Self { suspect, crashes: Vec::new(), begun: 0, has_answers: false }
     }
 
     /// Returns the number of crashes, where those within [`MIN_SEPARATION`] that lost requests sent before count as one.
@@ -404,6 +395,27 @@
         count
     }
 
+    /// Returns after how many crashes the suspect is the cause.
+    fn thresholds(&self) -> Thresholds {
+        // Requests with one body and different prompts may differ in what crashes targets.
+        if self.has_answers || super::is_request_body(&self.suspect) {
+            return Thresholds { likely: MOST_CRASHES, begun: None, certain: None };
+        }
+        if super::is_request(&self.suspect) {
+            let has_begun = 2 * self.begun > self.crashes.len();
+            return Thresholds {
+                likely: LIKELY_REQUEST_CRASHES,
+                begun: has_begun.then_some(LIKELY_REQUEST_CRASHES),
+                certain: Some(CERTAIN_REQUEST_CRASHES),
+            };
+        }
+        Thresholds {
+            likely: LIKELY_CRASHES,
+            begun: (self.begun > 0).then_some(BEGUN_CRASHES),
+            certain: Some(CERTAIN_CRASHES),
+        }
+    }
+
     fn weight(&self) -> (usize, usize) {
         (self.begun, self.separated())
     }
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use marigold_core::ids::Uptime;
-use marigold_core::poison;
 use marigold_core::poison::answers::{Answer, AnswerLog};
 use marigold_core::poison::judge::{Evidence, Judge, LostRun, Review, Verdict};
 use marigold_core::poison::quarantine::{Entry, IDLE_TIME, Key, MAX_PROBES, Quarantines};
+use marigold_core::poison::{self, Identity};
 
 fn secs(secs: u64) -> Uptime {
     Duration::from_secs(secs)
@@ -59,38 +59,79 @@
     verdicts.into_iter().map(|verdict| verdict.suspects).collect()
 }
 
+const IDENTITY: Identity<'_> = Identity {
+    customer: Some("a"),
+    method: "POST",
+    path: "/x?y=1",
+    body: b"body",
+    prompt_parts: &[],
+};
+
+/// Returns the suspects of a request with a prompt.
+fn suspects_of_prompt(parts: &[&str]) -> Vec<String> {
+    poison::suspects(&Identity { prompt_parts: &names(parts), ..IDENTITY })
+}
+
+fn parts_of_prompt(parts: &[&str]) -> Vec<String> {
+    suspects_of_prompt(parts).into_iter().filter(|suspect| poison::is_part(suspect)).collect()
+}
+
 #[test]
 fn suspects_are_all_parts_but_the_last() {
-    assert_eq!(poison::suspects(&names(&["b", "a", "a", "own"])), ["part a", "part b"]);
-    assert!(poison::suspects(&names(&["own"])).is_empty());
-    assert!(poison::suspects(&[]).is_empty());
-    let long = "x".repeat(10_000);
-    assert!(poison::suspects(&[long, "own".to_owned()])[0].len() < 100);
+    assert_eq!(parts_of_prompt(&["b", "a", "a", "own"]), ["part a", "part b"]);
+    assert!(parts_of_prompt(&["own"]).is_empty());
+    assert!(parts_of_prompt(&[]).is_empty());
+    assert!(parts_of_prompt(&[&"x".repeat(10_000), "own"])[0].len() < 100);
+    assert!(suspects_of_prompt(&["request ", "zz", "own"]).is_sorted());
 }
 
 #[test]
-fn request_tells_requests_apart() {
-    let of = |customer, method, path, body: &str| {
-        poison::request(customer, method, path, body.as_bytes())
+fn suspects_tell_requests_apart() {
+    let request = |identity: Identity<'_>| {
+        let suspects = poison::suspects(&identity);
+        assert_eq!(suspects.len(), 1);
+        assert!(poison::is_request(&suspects[0]));
+        suspects[0].clone()
     };
-    let request = of(Some("a"), "POST", "/x?y=1", "body");
-    assert_eq!(request, of(Some("a"), "POST", "/x?y=1", "body"));
-    assert!(poison::is_request(&request));
-    assert!(!poison::is_request(&poison::suspects(&names(&["request ", "own"]))[0]));
+    let own = request(IDENTITY);
+    assert_eq!(own, request(IDENTITY));
     let others = [
-        of(Some("b"), "POST", "/x?y=1", "body"),
-        of(None, "POST", "/x?y=1", "body"),
-        of(Some("a"), "GET", "/x?y=1", "body"),
-        of(Some("a"), "POST", "/x?y=2", "body"),
-        of(Some("a"), "POST", "/x?y=1", "bodY"),
-        of(Some("a"), "POST", "/x?y=", "1body"),
-        of(Some(""), "aPOST", "/x?y=1", "body"),
+        Identity { customer: Some("b"), ..IDENTITY },
+        Identity { customer: None, ..IDENTITY },
+        Identity { method: "GET", ..IDENTITY },
+        Identity { path: "/x?y=2", ..IDENTITY },
+        Identity { body: b"bodY", ..IDENTITY },
+        Identity { path: "/x?y=", body: b"1body", ..IDENTITY },
+        Identity { customer: Some(""), method: "aPOST", ..IDENTITY },
     ];
     for other in others {
-        assert_ne!(request, other);
+        assert_ne!(own, request(other));
     }
 }
 
+/// Requests with one body differ in their prompts; only those that are equal in both are the same request.
+#[test]
+fn suspects_tell_requests_with_prompts_apart() {
+    let whole = |parts: &[&str]| {
+        let suspects = suspects_of_prompt(parts);
+        suspects.into_iter().filter(|suspect| poison::is_request(suspect)).collect::<Vec<_>>()
+    };
+    assert_eq!(whole(&["s", "own"]), whole(&["s", "own"]));
+    assert_eq!(whole(&["s", "own"]).len(), 1);
+    for other in [&["s", "other"][..], &["t", "own"], &["own"], &["own", "s"], &["sown"], &[]] {
+        assert_ne!(whole(&["s", "own"]), whole(other));
+    }
+    let bodies = |parts: &[&str]| {
+        let suspects = suspects_of_prompt(parts);
+        let others = suspects
+            .into_iter()
+            .filter(|suspect| !poison::is_request(suspect) && !poison::is_part(suspect));
+        others.collect::<Vec<_>>()
+    };
+    assert_eq!(bodies(&["s", "own"]), bodies(&["t", "other"]));
+    assert_eq!(bodies(&["s", "own"]).len(), 1);
+}
+
 /// The third crash under a request should be the last.
 #[test]
 fn verdicts_blame_a_request_after_three_crashes() {
@@ -111,11 +152,41 @@
     }
 }
 
+/// A request with a prompt that comes again as it is crashes targets as one without a prompt does: the third crash should
+/// be the last, also among crashes under another request.
+#[test]
+fn verdicts_blame_a_request_with_a_prompt_after_three_crashes() {
+    let same = suspects_of_prompt(&["system", "own"]);
+    let other = suspects_of_prompt(&["system", "other"]);
+    let run = |suspects: &Vec<String>| LostRun { suspects: suspects.clone(), ..begun(&[]) };
+    for crashes in 1..=3_u64 {
+        let mut alone = judge((1..=crashes).map(|at| crash(at, &[run(&same)])));
+        alone.record_answer(answer("part system", "v1", Duration::from_millis(500)));
+        let verdicts = alone.verdicts(&alone.suspects_to_ask());
+        assert_eq!(verdicts.len(), usize::from(crashes == 3), "after {crashes}");
+        let is_refused = |suspects: &[String]| {
+            verdicts.iter().all(|verdict| verdict.suspects.iter().all(|s| suspects.contains(s)))
+        };
+        assert!(is_refused(&same));
+        assert!(verdicts.is_empty() || !is_refused(&other), "{verdicts:?}");
+    }
+    let identity =
+        Identity { body: b"other", prompt_parts: &names(&["system", "other"]), ..IDENTITY };
+    let other = poison::suspects(&identity);
+    let alternate = (1..=6).map(|at| crash(at, &[run(if at % 2 == 0 { &same } else { &other })]));
+    let mut judge = judge(alternate);
+    judge.record_answer(answer("part system", "v1", Duration::from_millis(3_500)));
+    assert_eq!(blamed(&judge).len(), 2);
+}
+
 /// Requests with one body and different prompts may differ in what crashes targets.
 #[test]
-fn verdicts_need_more_crashes_of_a_request_with_a_prompt() {
-    for crashes in 1..=6 {
-        let run = |at: u64| begun(&[&format!("part {at}"), "request 1"]);
+fn verdicts_need_more_crashes_of_a_body_with_different_prompts() {
+    for crashes in 1..=6_u64 {
+        let run = |at: u64| {
+            let suspects = suspects_of_prompt(&[&format!("subject {at}"), &format!("own {at}")]);
+            LostRun { suspects, ..begun(&[]) }
+        };
         let judge = judge((1..=crashes).map(|at| crash(at, &[run(at)])));
         assert_eq!(blamed(&judge).len(), usize::from(crashes == 6), "after {crashes}");
     }
--- a/crates/gateway/src/attempts/quarantined.rs
+++ b/crates/gateway/src/attempts/quarantined.rs
@@ -46,7 +46,7 @@
     pub(super) fn quarantine_failure(&self, entry: &Entry) -> Failure {
         poison::on_refusal(&self.shared, entry);
         let (suspects, crashes) = (poison::text(entry), entry.crashes);
-        let reason = if entry.key.1.iter().any(|suspect| core_poison::is_request(suspect)) {
+        let reason = if entry.key.1.iter().any(|suspect| !core_poison::is_part(suspect)) {
             format!("the same request crashed {crashes} targets and is refused ({suspects})")
         } else {
             format!("requests with the same {suspects} crashed {crashes} targets and are refused")
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -106,7 +106,7 @@
         return;
     }
     let (poison, now) = (&shared.poison, boottime::now());
-    let parts_end = suspects.partition_point(|suspect| !poison::is_request(suspect));
+    let parts_end = suspects.partition_point(|suspect| poison::is_part(suspect));
     let (parts, requests) = suspects.split_at(parts_end);
     if !parts.is_empty() {
         poison.answers.lock().record(pool, version, customer, parts, now);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -163,10 +163,14 @@
     let body = read_body(parts, body, &adopted.routing.limits, timeout).await?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
-    let mut suspects = poison::suspects(&head.prompt_parts);
-    let path = parts.uri.path_and_query().map_or(parts.uri.path(), PathAndQuery::as_str);
-    let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
-    suspects.push(poison::request(customer_name, parts.method.as_str(), path, &body));
+    let identity = poison::Identity {
+        customer: customer.as_ref().map(|customer| customer.name.as_str()),
+        method: parts.method.as_str(),
+        path: parts.uri.path_and_query().map_or(parts.uri.path(), PathAndQuery::as_str),
+        body: &body,
+        prompt_parts: &head.prompt_parts,
+    };
+    let suspects = poison::suspects(&identity);
     Ok(Attempts {
         shared: shared.clone(),
         adopted,
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -28,6 +28,8 @@
     PromptPart(String),
     /// A path and a body; the replica crashes without an answer.
     Request(String, Vec<u8>),
+    /// A path, a body and a whole prompt; the replica crashes within the first event of its answer.
+    Prompt(String, Vec<u8>, String),
 }
 
 impl Poison {
@@ -41,6 +43,11 @@
             Self::Request(path, body) => {
                 run.request_line.split(' ').nth(1) == Some(path) && run.body == *body
             }
+            Self::Prompt(path, body, prompt) => {
+                run.request_line.split(' ').nth(1) == Some(path)
+                    && run.body == *body
+                    && run.headers.get("prompt-prefix") == Some(prompt)
+            }
         }
     }
 }
@@ -454,7 +461,7 @@
         let poison = self.state.poisons.lock().iter().find(|poison| poison.is_in(&run)).cloned();
         if let Some(poison) = poison {
             time::sleep(self.options.response_delay).await;
-            if matches!(poison, Poison::PromptPart(_)) {
+            if !matches!(poison, Poison::Request(..)) {
                 let head = self.stream_head(&headers);
                 self.stream.write_all(format!("{head}8\r\nid: 1\nda\r\n").as_bytes()).await?;
             }
