Gateways get changes of the targets from two watchers, not each from the store

The watchers of the configuration now watch the targets too. Polls carry the version of the list and the age of the proof that it is the newest; whoever is behind asks for the changes since its version (objects::RecentChanges), and reads the store itself when its proof is older than 1.7 s, as for the configuration. A gateway that does not know the others yet takes itself for no watcher. Gateways that are not watchers read the list of gateways a second time after 1 s and then each 60 s.

Found on the way: changes that arrived from a peer before this gateway knew of the store's recovery removed targets whose entries had expired in the outage (entries_expired_in_an_outage_keep_serving failed once in three runs); the period in which the store has answered now comes with the changes.

Replaced test: stream_does_not_go_on_while_the_list_of_targets_is_old cut off one gateway, whose list the other one now keeps current. It refuses lists of targets to all gateways instead; the checks are the same. That gateways cut off alone learn of a drain, also when the watchers are killed, is tested anew.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -28,13 +28,19 @@
 const MIN_AGE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay between two reads of a watch, so that each reads several changes.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(700);
-/// Wait time of a watch on the targets. A watch whose reply is lost looks like one without changes until it is overdue,
-/// so this and the store's call timeout bound the age of the list: together they stay below the five seconds after a
-/// fault within which a draining target has to be noticed.
-const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
+/// Wait time of a watch on the targets, which bounds the age of the proof that others get from the watchers.
+const TARGETS_WAIT: Duration = Duration::from_millis(600);
+/// Delay between two reads of the targets that had changes. With the wait time and the interval of polls it stays below
+/// [`DIRECT_READ_AGE`].
+const TARGETS_BATCH_DELAY: Duration = Duration::from_millis(400);
 /// Wait time of a watch on the gateways. It is long because each call to the store has a price, and gateways also learn
 /// of each other by polls.
 const MEMBERS_WAIT: Duration = Duration::from_secs(25);
+/// Delay of the second read of the gateways, for those that start at the same time; they do so within a second.
+const MEMBERS_SECOND_READ_DELAY: Duration = Duration::from_secs(1);
+/// Interval between reads of the gateways that are not watchers. A new gateway polls all that it has found in the store, so
+/// this is only for those that missed its polls.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(60);
 /// Backoff from the start of a failed call, multiplied by the number of failures in a row and by a random factor between
 /// one and two, so that the retries of gateways do not coincide.
 const BASE_BACKOFF: Duration = Duration::from_millis(200);
@@ -50,35 +56,54 @@
     const KIND: &'static str;
     const WAIT: Duration;
 
-    /// Applies changes that were requested at `sent`; if `is_whole`, they are a full list of the objects of the kind.
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, sent: Uptime);
+    /// Applies changes after the version `after` that were requested at `sent`; without a version they are a full list of
+    /// the objects of the kind.
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime);
 
-    /// Waits until the next call is due. Changes come in groups and each call has a price, so the call is delayed,
-    /// except for the first two, since a gateway that has just started knows no targets and no other gateways, and after
-    /// a call that brought no answer or no changes because the history has expired.
+    /// Returns the version from which the next call goes on, if changes after `after` may have come from other gateways.
+    fn position(&self, _shared: &Shared<D, S>, after: Version) -> Version {
+        after
+    }
+
+    /// Waits until the next call is due, after one that had brought `last`. Changes come in groups and each call has a price,
+    /// so the call after some changes is delayed.
     fn wait_before_read(
         &self,
-        _shared: &Shared<D, S>,
-        is_delayed: bool,
-    ) -> impl Future<Output = ()> + Send {
-        time::sleep(if is_delayed { CHANGE_BATCH_DELAY } else { Duration::ZERO })
-    }
+        shared: &Shared<D, S>,
+        last: LastRead,
+    ) -> impl Future<Output = ()> + Send;
 
     /// Records that a call failed.
     fn on_store_failure(&self, _shared: &Shared<D, S>) {}
 }
 
+/// What the last call of a watch brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastRead {
+    /// No answer, an expired history, or there was no call.
+    Nothing,
+    /// A full list.
+    List,
+    /// Changes.
+    Changes,
+    /// No changes within the wait time.
+    NoChanges,
+}
+
 async fn watch_forever<D: Dialect, S: Store, F: WatchHandler<D, S>>(
     shared: Arc<Shared<D, S>>,
     handler: F,
 ) {
     let mut after = Version::default();
     let mut failures = 0_u32;
-    let mut is_delayed = false;
+    let mut last = LastRead::Nothing;
     // Whether the history has expired since the last changes were read.
     let mut has_expired = false;
     loop {
-        handler.wait_before_read(&shared, is_delayed).await;
+        handler.wait_before_read(&shared, last).await;
+        if !after.is_none() {
+            after = handler.position(&shared, after);
+        }
         let sent = boottime::now();
         // After a failure the store is asked for its state, which a watch without changes would delay.
         let wait = if failures == 0 { F::WAIT } else { Duration::ZERO };
@@ -88,7 +113,7 @@
             // Another watch has found that the store was restored; what this one waits for may be in the list already.
             _ = era.changed() => {
                 after = Version::default();
-                is_delayed = false;
+                last = LastRead::Nothing;
                 continue;
             }
         };
@@ -103,15 +128,19 @@
                 failures = 0;
                 let is_whole = after.is_none();
                 has_expired &= is_whole;
-                is_delayed = !is_whole;
-                after = changes.version;
-                handler.apply(&shared, changes, is_whole, sent);
+                last = match (is_whole, changes.objects.is_empty()) {
+                    (true, _) => LastRead::List,
+                    (false, false) => LastRead::Changes,
+                    (false, true) => LastRead::NoChanges,
+                };
+                let before = std::mem::replace(&mut after, changes.version);
+                handler.apply(&shared, changes, before, sent);
             }
             Err(Error::HistoryExpired { .. }) => {
                 shared.record_store_answer(F::KIND, boottime::now());
                 tracing::info!(kind = F::KIND, %after, "store history expired; reading all objects");
                 after = Version::default();
-                is_delayed = false;
+                last = LastRead::Nothing;
                 // Spaces the calls while the store forgets its history again and again.
                 if std::mem::replace(&mut has_expired, true) {
                     time::sleep(CHANGE_BATCH_DELAY).await;
@@ -120,7 +149,7 @@
             Err(err) => {
                 shared.metrics.store_failures.add(1, &[KeyValue::new("kind", F::KIND)]);
                 failures += 1;
-                is_delayed = false;
+                last = LastRead::Nothing;
                 let took = boottime::now().saturating_sub(sent);
                 let took_ms = took.as_millis() as u64;
                 tracing::warn!(kind = F::KIND, %after, failures, took_ms, %err, "call to the store failed");
@@ -144,7 +173,7 @@
 
     /// Watchers call at once. Other gateways call only if they have no configuration, or if the newest proof relayed by
     /// a watcher is too old.
-    async fn wait_before_read(&self, shared: &Shared<D, S>, _is_delayed: bool) {
+    async fn wait_before_read(&self, shared: &Shared<D, S>, _last: LastRead) {
         while !shared.members.is_watcher() {
             let age = shared.freshness.lock().age(boottime::now());
             match age.and_then(|age| DIRECT_READ_AGE.checked_sub(age)) {
@@ -156,7 +185,7 @@
         }
     }
 
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, _is_whole: bool, sent: Uptime) {
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, _after: Version, sent: Uptime) {
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
             match &object.value {
                 Some(text) => {
@@ -183,58 +212,100 @@
     const KIND: &'static str = D::TARGET_KIND;
     const WAIT: Duration = TARGETS_WAIT;
 
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, _sent: Uptime) {
-        if !is_whole && changes.objects.is_empty() {
-            return;
+    /// As for the configuration: other gateways than the watchers call only if the list that they got from a watcher is too
+    /// old.
+    async fn wait_before_read(&self, shared: &Shared<D, S>, last: LastRead) {
+        if last == LastRead::Changes && shared.members.is_watcher() {
+            return time::sleep(TARGETS_BATCH_DELAY).await;
         }
-        let now = boottime::now();
-        let grace_period = shared.grace_period();
-        let recovered_at = shared.store_recovered_at();
-        let held = shared.targets.update(|list| {
-            if let Some(at) = recovered_at {
-                list.on_store_recovered(at);
+        while !shared.members.is_watcher() {
+            let age = shared.target_changes.lock().age(boottime::now());
+            match age.and_then(|age| DIRECT_READ_AGE.checked_sub(age)) {
+                Some(remaining) => time::sleep(remaining.max(MIN_AGE_CHECK_INTERVAL)).await,
+                None => return,
             }
-            if is_whole {
-                let targets = changes.objects.iter().filter_map(read_target::<D>).collect();
-                if shared.has_unread_restore.swap(false, Ordering::Relaxed) {
-                    list.replace_restored(targets, now, grace_period, shared.restore_hold());
-                } else {
-                    list.replace(targets, now, grace_period);
-                }
+        }
+    }
+
+    fn position(&self, shared: &Shared<D, S>, _after: Version) -> Version {
+        shared.target_changes.lock().version()
+    }
+
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime) {
+        apply_target_changes(shared, &changes, after, sent);
+    }
+}
+
+/// Applies the changes of the targets after a version, which were current at `at`, from the store or from another gateway.
+/// Without a version they are a full list.
+pub(crate) fn apply_target_changes<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
+    changes: &Changes,
+    after: Version,
+    at: Uptime,
+) {
+    // Held until the list is changed, so that changes are applied in their order.
+    let mut recent = shared.target_changes.lock();
+    let is_whole = after.is_none();
+    let is_new = if is_whole {
+        recent.replace(changes.version, at)
+    } else {
+        recent.extend(after, changes, at)
+    };
+    if !is_new {
+        return;
+    }
+    if !is_whole && changes.objects.is_empty() {
+        return;
+    }
+    let now = boottime::now();
+    let grace_period = shared.grace_period();
+    let recovered_at = shared.store_recovered_at();
+    let held = shared.targets.update(|list| {
+        if let Some(at) = recovered_at {
+            list.on_store_recovered(at);
+        }
+        if is_whole {
+            let targets = changes.objects.iter().filter_map(read_target::<D>).collect();
+            if shared.has_unread_restore.swap(false, Ordering::Relaxed) {
+                list.replace_restored(targets, now, grace_period, shared.restore_hold());
             } else {
-                for object in &changes.objects {
-                    match read_target::<D>(object) {
-                        Some(target) => list.put(target),
-                        None => list.remove(&object.name, now, grace_period),
-                    }
+                list.replace(targets, now, grace_period);
+            }
+        } else {
+            for object in &changes.objects {
+                match read_target::<D>(object) {
+                    Some(target) => list.put(target),
+                    None => list.remove(&object.name, now, grace_period),
                 }
             }
-            list.release_held(now)
-        });
-        let mixed_pools = shared.targets.take_newly_mixed();
-        if !mixed_pools.is_empty() {
-            tokio::spawn(origins::send_own(shared.clone(), mixed_pools));
-        }
-        if held > 0 {
-            tokio::spawn(release_held_targets(shared.clone()));
-        }
-        let missing = shared.targets.missing_count();
-        tracing::info!(
-            changed = changes.objects.len(),
-            is_whole,
-            usable = shared.targets.len(),
-            missing,
-            held,
-            version = %changes.version,
-            "targets changed"
-        );
-        shared.has_targets.send_replace(true);
-        for pool in shared.pools_with_stages() {
-            batcher::dispatch(shared, &pool);
-        }
-        if missing > 0 {
-            tokio::spawn(remove_missing_targets(shared.clone()));
         }
+        list.release_held(now)
+    });
+    drop(recent);
+    let mixed_pools = shared.targets.take_newly_mixed();
+    if !mixed_pools.is_empty() {
+        tokio::spawn(origins::send_own(shared.clone(), mixed_pools));
+    }
+    if held > 0 {
+        tokio::spawn(release_held_targets(shared.clone()));
+    }
+    let missing = shared.targets.missing_count();
+    tracing::info!(
+        changed = changes.objects.len(),
+        is_whole,
+        usable = shared.targets.len(),
+        missing,
+        held,
+        version = %changes.version,
+        "targets changed"
+    );
+    shared.has_targets.send_replace(true);
+    for pool in shared.pools_with_stages() {
+        batcher::dispatch(shared, &pool);
+    }
+    if missing > 0 {
+        tokio::spawn(remove_missing_targets(shared.clone()));
     }
 }
 
@@ -287,8 +358,21 @@
     const KIND: &'static str = MEMBER_KIND;
     const WAIT: Duration = MEMBERS_WAIT;
 
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, is_whole: bool, _sent: Uptime) {
-        if is_whole {
+    async fn wait_before_read(&self, shared: &Shared<D, S>, last: LastRead) {
+        let delay = match last {
+            LastRead::Nothing => Duration::ZERO,
+            LastRead::List => MEMBERS_SECOND_READ_DELAY,
+            LastRead::Changes | LastRead::NoChanges if !shared.members.is_watcher() => {
+                MEMBERS_INTERVAL
+            }
+            LastRead::Changes => CHANGE_BATCH_DELAY,
+            LastRead::NoChanges => Duration::ZERO,
+        };
+        time::sleep(delay).await;
+    }
+
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, _sent: Uptime) {
+        if after.is_none() {
             // A store that was restored from an older copy may have lost the entries of gateways that answer.
             for member in shared.members.others().iter().filter(|member| !member.is_alive()) {
                 if !changes.objects.iter().any(|object| object.name == member.name) {
@@ -309,6 +393,7 @@
                 }
             }
         }
+        shared.members.set_known();
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,5 +24,6 @@
 mod response;
 mod shared;
 mod stage_runner;
+mod target_relay;
 mod targets;
 pub mod upstream;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -75,6 +75,8 @@
     others: BTreeMap<Name, Member>,
     pools: Vec<Name>,
     is_settled: bool,
+    /// Whether the gateways in the store have been read.
+    is_known: bool,
 }
 
 /// The membership: this gateway and all others that it knows.
@@ -273,10 +275,17 @@
         names.iter().filter_map(|name| state.others.get(name).cloned()).collect()
     }
 
-    /// Returns whether this gateway watches the configuration for the others.
+    /// Marks the other gateways as known, after they have been read from the store.
+    pub(crate) fn set_known(&self) {
+        self.state.lock().is_known = true;
+    }
+
+    /// Returns whether this gateway watches the configuration and the targets for the others. One that does not know the
+    /// others yet does not: at a start of all, each would.
     pub(crate) fn is_watcher(&self) -> bool {
-        let alive = self.candidates(&self.state.lock(), Member::is_alive);
-        ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
+        let state = self.state.lock();
+        let alive = self.candidates(&state, Member::is_alive);
+        state.is_known && ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
     }
 
     /// Returns the `count` other gateways that rank first for a key, only those that are alive if `is_alive` is set.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use marigold_core::ids::Uptime;
 use marigold_core::store_service::Period;
 use marigold_link::server::{Handler, ReplySink};
 use marigold_objects::Store;
@@ -11,7 +12,7 @@
 use marigold_schema::messages;
 use marigold_schema::messages::{
     AnswerAges, AnswerQuery, ConfigText, CrashReport, GatewayFacts, LimitAsk, LimitGrant, ProbeAsk,
-    QuarantineList, Reply, Request, RunStage, StageDone, StageRelease,
+    QuarantineList, Reply, Request, RunStage, StageDone, StageRelease, StoreVersion, TargetChanges,
 };
 use tokio::time;
 
@@ -23,6 +24,7 @@
 use crate::poison;
 use crate::poison::{evidence, spread};
 use crate::shared::Shared;
+use crate::target_relay;
 
 /// Interval at which peers are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
@@ -170,6 +172,17 @@
     }
 }
 
+/// Asks a gateway for the changes of the list of targets after a version.
+pub(crate) async fn read_targets(
+    member: &Member,
+    after: StoreVersion,
+) -> Result<TargetChanges, String> {
+    match exchange(member, &Request::ReadTargets(after), REPLY_TIMEOUT).await? {
+        Reply::TargetChanges(changes) => Ok(changes),
+        reply => Err(format!("unexpected reply {reply:?}")),
+    }
+}
+
 /// Polls the state of the relevant peers, until the process ends.
 pub(crate) async fn poll_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     loop {
@@ -215,10 +228,11 @@
         return;
     }
     shared.members.on_facts(&facts);
+    target_relay::sync(&shared, &member, &facts, sent).await;
     limits::merge_changed(&shared, facts.limits.clone(), sent);
     spread::sync(&shared, &member, facts.quarantines).await;
     if !shared.remaining_grace_period(boottime::now()).is_zero() {
-        merge_store_service(&shared, &member).await;
+        read_store_service(&shared, &member).await;
     }
     if let Err(err) = sync_config(&shared, &member, &facts, sent).await {
         tracing::warn!(
@@ -230,18 +244,23 @@
     }
 }
 
-/// Adds what a peer knows of the store's service. The peer determined the ages between the request and its reply; the
-/// period is taken as short as that allows.
-async fn merge_store_service<D: Dialect, S: Store>(shared: &Shared<D, S>, member: &Member) {
+async fn read_store_service<D: Dialect, S: Store>(shared: &Shared<D, S>, member: &Member) {
     let sent = boottime::now();
-    let service = match exchange(member, &Request::ReadStoreService, REPLY_TIMEOUT).await {
-        Ok(Reply::StoreService(service)) => service,
+    match exchange(member, &Request::ReadStoreService, REPLY_TIMEOUT).await {
+        Ok(Reply::StoreService(service)) => merge_store_service(shared, &service, sent),
         // Gateways without this request refuse it, as do those that the store has not answered.
-        Ok(_) => return,
-        Err(err) => {
-            return tracing::debug!(member = member.name, err, "period of the store not read");
-        }
-    };
+        Ok(_) => {}
+        Err(err) => tracing::debug!(member = member.name, err, "period of the store not read"),
+    }
+}
+
+/// Adds what a peer knows of the store's service. The peer determined the ages between the request, sent at `sent`, and its
+/// reply; the period is taken as short as that allows.
+pub(crate) fn merge_store_service<D: Dialect, S: Store>(
+    shared: &Shared<D, S>,
+    service: &messages::StoreService,
+    sent: Uptime,
+) {
     let until = sent.saturating_sub(Duration::from_millis(service.until_age_ms));
     let since = boottime::now().saturating_sub(Duration::from_millis(service.since_age_ms));
     let period = Period { since: since.min(until), until };
@@ -358,6 +377,13 @@
             Request::ReadOrigin(query) => {
                 replies.send(&Reply::Origin(origins::answer(shared, &query))).await?;
             }
+            Request::ReadTargets(after) => {
+                let reply = match target_relay::changes_since(shared, &after) {
+                    Some(changes) => Reply::TargetChanges(changes),
+                    None => Reply::Refused("changes since this version are not kept".to_owned()),
+                };
+                replies.send(&reply).await?;
+            }
             Request::ReadConfig(newer_than) => {
                 let adopted = shared.adopted.load_full();
                 let reply = match adopted.filter(|adopted| adopted.routing.version > newer_than) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use marigold_core::retry::{WindowBudget, WindowLimit};
 use marigold_core::routes::Routing;
 use marigold_core::store_service::{self, StoreService};
+use marigold_objects::RecentChanges;
 use marigold_process::boottime;
 use marigold_schema::messages::{self, GatewayEntry, GatewayFacts};
 use marigold_schema::settings::GatewaySettings;
@@ -30,6 +31,7 @@
 use crate::poison::Poison;
 use crate::request;
 use crate::stage_runner::ReleaseQueue;
+use crate::target_relay;
 use crate::targets::{self, TargetTable};
 
 /// The configuration in force.
@@ -56,6 +58,8 @@
     pub(crate) adopted: ArcSwapOption<AdoptedConfig>,
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) targets: TargetTable,
+    /// Changes of the list of targets, for other gateways.
+    pub(crate) target_changes: Mutex<RecentChanges>,
     pub(crate) limits: Limits,
     pub(crate) crashes: Crashes,
     pub(crate) poison: Poison,
@@ -107,6 +111,7 @@
             adopted: ArcSwapOption::empty(),
             freshness: Mutex::default(),
             targets: TargetTable::default(),
+            target_changes: Mutex::default(),
             limits: Limits::default(),
             crashes: Crashes::default(),
             poison: Poison::default(),
@@ -198,14 +203,31 @@
     /// Records an answer of the store to a watch on objects of a kind; returns the age of the answer before.
     pub(crate) fn record_store_answer(&self, kind: &'static str, now: Uptime) -> Option<Duration> {
         let before = self.store_answers.lock().insert(kind, now);
-        if kind == D::TARGET_KIND && before.is_some_and(|at| now > at + targets::MAX_LIST_AGE) {
-            self.targets.on_gap(now);
+        if kind == D::TARGET_KIND {
+            self.check_targets_gap(before, now);
         }
         self.store_service.lock().record_answer(now, self.min_outage());
         self.store_answered.notify_waiters();
         before.map(|at| now.saturating_sub(at))
     }
 
+    /// Records that the store had told another gateway at `at` what this one knows of the targets.
+    pub(crate) fn record_relayed_targets(&self, at: Uptime) {
+        let before = {
+            let mut answers = self.store_answers.lock();
+            let last = answers.entry(D::TARGET_KIND).or_insert(at);
+            std::mem::replace(last, at.max(*last))
+        };
+        self.check_targets_gap(Some(before), at);
+    }
+
+    /// Software versions may have come and gone unseen between two readings of the list that are far apart.
+    fn check_targets_gap(&self, before: Option<Uptime>, now: Uptime) {
+        if before.is_some_and(|at| now > at + targets::MAX_LIST_AGE) {
+            self.targets.on_gap(now);
+        }
+    }
+
     /// Returns whether the list of targets was read recently enough to tell the software versions of targets.
     pub(crate) fn has_current_targets(&self, now: Uptime) -> bool {
         let read_at = self.store_answers.lock().get(D::TARGET_KIND).copied();
@@ -305,6 +327,7 @@
             leaving: self.is_stopping(),
             limits: self.limits.changed(now),
             quarantines: self.poison.digest(),
+            targets: target_relay::state(&self.target_changes.lock(), now),
         }
     }
 
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -3,8 +3,10 @@
 pub mod error;
 pub mod memory;
 pub mod object;
+pub mod recent;
 pub mod store;
 
 pub use error::{Error, Result};
 pub use object::{Changes, Expect, Object, VM_KIND, Version, Vm, VmState};
+pub use recent::RecentChanges;
 pub use store::{Store, put_verified};
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -808,6 +808,10 @@
 ///      "description": "Hash of the quarantines that the gateway knows; zero if there are none.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "targets": {
+///      "description": "State of the list of targets; absent before it was read.",
+///      "$ref": "#/definitions/TargetsState"
 ///    }
 ///  }
 ///}
@@ -829,6 +833,9 @@
     pub proof_age_ms: ::std::option::Option<u64>,
     ///Hash of the quarantines that the gateway knows; zero if there are none.
     pub quarantines: u64,
+    ///State of the list of targets; absent before it was read.
+    #[serde(default)]
+    pub targets: ::std::option::Option<TargetsState>,
 }
 ///Heartbeat, sent by an entry on each of its links to agents.
 ///
@@ -1940,6 +1947,18 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "target_changes"
+///      ],
+///      "properties": {
+///        "target_changes": {
+///          "$ref": "#/definitions/TargetChanges"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -1979,6 +1998,8 @@
     AnswerAges(AnswerAges),
     #[serde(rename = "quarantines")]
     Quarantines(QuarantineList),
+    #[serde(rename = "target_changes")]
+    TargetChanges(TargetChanges),
 }
 impl ::std::convert::From<Report> for Reply {
     fn from(value: Report) -> Self {
@@ -2045,6 +2066,11 @@
         Self::Quarantines(value)
     }
 }
+impl ::std::convert::From<TargetChanges> for Reply {
+    fn from(value: TargetChanges) -> Self {
+        Self::TargetChanges(value)
+    }
+}
 ///Reply of an agent to a heartbeat.
 ///
 /// <details><summary>JSON schema</summary>
@@ -2399,6 +2425,19 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "read_targets"
+///      ],
+///      "properties": {
+///        "read_targets": {
+///          "description": "Asks for the changes of the list of targets after a version.",
+///          "$ref": "#/definitions/StoreVersion"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -2450,6 +2489,8 @@
     SyncQuarantines(QuarantineList),
     #[serde(rename = "ask_probe")]
     AskProbe(ProbeAsk),
+    #[serde(rename = "read_targets")]
+    ReadTargets(StoreVersion),
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
@@ -2556,6 +2597,11 @@
         Self::AskProbe(value)
     }
 }
+impl ::std::convert::From<StoreVersion> for Request {
+    fn from(value: StoreVersion) -> Self {
+        Self::ReadTargets(value)
+    }
+}
 ///Asks the owner of a pool, the gateway that batches the calls to it, to run one stage of a request. The stage consists of pieces: units of work that a call carries together with others.
 ///
 /// <details><summary>JSON schema</summary>
@@ -2897,6 +2943,38 @@
     ///Time since the latest answer, in milliseconds.
     pub until_age_ms: u64,
 }
+///Version of the objects in the store.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Version of the objects in the store.",
+///  "type": "object",
+///  "required": [
+///    "era",
+///    "revision"
+///  ],
+///  "properties": {
+///    "era": {
+///      "description": "Number of times that the store was restored from an older copy.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "revision": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoreVersion {
+    ///Number of times that the store was restored from an older copy.
+    pub era: u64,
+    pub revision: u64,
+}
 ///Record of the target that wrote the first event of a stream.
 ///
 /// <details><summary>JSON schema</summary>
@@ -2960,6 +3038,44 @@
     ///Version of the target's software.
     pub version: ::std::string::String,
 }
+///Changes of the list of targets after the version that was asked for.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Changes of the list of targets after the version that was asked for.",
+///  "type": "object",
+///  "required": [
+///    "objects",
+///    "state"
+///  ],
+///  "properties": {
+///    "objects": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/TargetObject"
+///      }
+///    },
+///    "service": {
+///      "description": "Period in which the store has answered, which tells whether removed entries may have expired in an outage.",
+///      "$ref": "#/definitions/StoreService"
+///    },
+///    "state": {
+///      "$ref": "#/definitions/TargetsState"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TargetChanges {
+    pub objects: ::std::vec::Vec<TargetObject>,
+    ///Period in which the store has answered, which tells whether removed entries may have expired in an outage.
+    #[serde(default)]
+    pub service: ::std::option::Option<StoreService>,
+    pub state: TargetsState,
+}
 ///What a target said about its limit.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3001,6 +3117,72 @@
     pub started_at_ms: u64,
     pub target: ::std::string::String,
 }
+///Object of the store that describes a target.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Object of the store that describes a target.",
+///  "type": "object",
+///  "required": [
+///    "name",
+///    "version"
+///  ],
+///  "properties": {
+///    "name": {
+///      "type": "string"
+///    },
+///    "value": {
+///      "description": "Absent after a deletion.",
+///      "type": "string"
+///    },
+///    "version": {
+///      "$ref": "#/definitions/StoreVersion"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TargetObject {
+    pub name: ::std::string::String,
+    ///Absent after a deletion.
+    #[serde(default)]
+    pub value: ::std::option::Option<::std::string::String>,
+    pub version: StoreVersion,
+}
+///Version of the list of targets that a gateway has, and its age.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Version of the list of targets that a gateway has, and its age.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "version"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since it was last verified that the list had not changed, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "version": {
+///      "$ref": "#/definitions/StoreVersion"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TargetsState {
+    ///Time since it was last verified that the list had not changed, in milliseconds.
+    pub age_ms: u64,
+    pub version: StoreVersion,
+}
 ///Keys of a shard that an entry has sent, or that were replicated to it.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -48,6 +48,8 @@
     pub lose_answers: u32,
     /// Whether the history of changes up to this call is dropped.
     pub forget_history: bool,
+    /// Kind of objects of which lists and watches fail.
+    pub refused_kind: Option<String>,
 }
 
 /// Counts of calls since the start.
@@ -303,6 +305,9 @@
     if let Err(refused) = platform.admit(false).await {
         return empty_response(refused);
     }
+    if platform.faults.lock().refused_kind.as_deref() == Some(kind) {
+        return empty_response(Status::ServiceUnavailable);
+    }
     let wait = Duration::from_millis(waitMs.unwrap_or(0).min(30_000));
     if watch.is_some() {
         platform.counts.lock().watches += 1;
