--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -178,7 +178,8 @@
             let age = shared.freshness.lock().age(boottime::now());
             match age.and_then(|age| DIRECT_READ_AGE.checked_sub(age)) {
                 Some(remaining) if shared.adopted.load().is_some() => {
-                    time::sleep(remaining.max(MIN_AGE_CHECK_INTERVAL)).await
+                    let duration = remaining.max(MIN_AGE_CHECK_INTERVAL);
+                    shared.members.sleep_while_unknown(duration).await;
                 }
                 _ => return,
             }
@@ -221,7 +222,10 @@
         while !shared.members.is_watcher() {
             let age = shared.target_changes.lock().age(boottime::now());
             match age.and_then(|age| DIRECT_READ_AGE.checked_sub(age)) {
-                Some(remaining) => time::sleep(remaining.max(MIN_AGE_CHECK_INTERVAL)).await,
+                Some(remaining) => {
+                    let duration = remaining.max(MIN_AGE_CHECK_INTERVAL);
+                    shared.members.sleep_while_unknown(duration).await;
+                }
                 None => return,
             }
         }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -18,6 +18,8 @@
 use marigold_schema::settings::GatewaySettings;
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom as _;
+use tokio::sync::watch;
+use tokio::time;
 
 /// Number of failed polls in a row after which a gateway counts as unresponsive.
 const MISSED_POLL_LIMIT: u32 = 2;
@@ -75,8 +77,6 @@
     others: BTreeMap<Name, Member>,
     pools: Vec<Name>,
     is_settled: bool,
-    /// Whether the gateways in the store have been read.
-    is_known: bool,
 }
 
 /// The membership: this gateway and all others that it knows.
@@ -86,6 +86,8 @@
     started: Uptime,
     security: Arc<Security>,
     state: Mutex<State>,
+    /// Whether the gateways in the store have been read.
+    is_known: watch::Sender<bool>,
     /// Owners of the pools that other gateways own; this gateway owns all other pools.
     owners: ArcSwap<BTreeMap<Name, Member>>,
 }
@@ -101,6 +103,7 @@
             started: now,
             security,
             state: Mutex::new(state),
+            is_known: watch::Sender::new(false),
             owners: ArcSwap::default(),
         }
     }
@@ -277,7 +280,16 @@
 
     /// Marks the other gateways as known, after they have been read from the store.
     pub(crate) fn set_known(&self) {
-        self.state.lock().is_known = true;
+        self.is_known.send_replace(true);
+    }
+
+    /// Waits for some time, or until the other gateways are known, after which this one may be a watcher.
+    pub(crate) async fn sleep_while_unknown(&self, duration: Duration) {
+        let mut is_known = self.is_known.subscribe();
+        if *is_known.borrow_and_update() {
+            return time::sleep(duration).await;
+        }
+        let _ = time::timeout(duration, is_known.changed()).await;
     }
 
     /// Returns whether this gateway watches the configuration and the targets for the others. One that does not know the
@@ -285,7 +297,7 @@
     pub(crate) fn is_watcher(&self) -> bool {
         let state = self.state.lock();
         let alive = self.candidates(&state, Member::is_alive);
-        state.is_known && ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
+        *self.is_known.borrow() && ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
     }
 
     /// Returns the `count` other gateways that rank first for a key, only those that are alive if `is_alive` is set.
