Gateway: a stream whose target sends bytes but no event goes on elsewhere

Cause: the timeout for the next event began anew with each byte, so a target that dripped a byte now and then kept a stream that may be resumed until its deadline. An event now has to be complete 2 s after the one before; without any data 1.5 s, as before. stream_that_drips_resumes_on_another_replica failed first: two events of ten, cut off at the deadline. Streams that may not be resumed stay at their target until the deadline, since nothing else can serve them.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use marigold_objects::Store;
 use marigold_process::boottime;
 use tokio::sync::mpsc;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::attempts::{Attempts, SentRequest};
 use crate::crashes;
@@ -25,6 +25,9 @@
 /// Time without data after which a resumable stream is resumed at another target. It is several times the gap between
 /// events that counts as late: by then the stream is late anyway, and resuming only ensures its completion.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after an event within which the next one must be complete, although data of it arrive. Callers give up a stream that
+/// has no event for two seconds.
+const EVENT_COMPLETION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after the deadline for which the rest of a response is still forwarded. Targets stop by themselves earlier.
 const DEADLINE_GRACE: Duration = Duration::from_millis(150);
 
@@ -86,11 +89,18 @@
 
     /// Waits for the next complete events.
     pub(crate) async fn next(&mut self) -> StreamItem {
+        let completion_deadline = Instant::now() + EVENT_COMPLETION_TIMEOUT;
         loop {
             let frame = if self.is_resumable {
-                match time::timeout(EVENT_TIMEOUT, self.body.frame()).await {
+                let timeout_at = completion_deadline.min(Instant::now() + EVENT_TIMEOUT);
+                match time::timeout_at(timeout_at, self.body.frame()).await {
                     Ok(frame) => frame,
-                    Err(_) => return StreamItem::Broken(format!("no event for {EVENT_TIMEOUT:?}")),
+                    Err(_) => {
+                        let reason = format!(
+                            "no data for {EVENT_TIMEOUT:?}, or no event for {EVENT_COMPLETION_TIMEOUT:?}"
+                        );
+                        return StreamItem::Broken(reason);
+                    }
                 }
             } else {
                 self.body.frame().await
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -21,6 +21,9 @@
 /// Interval at which a restarted replica tries to bind its address.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval between the bytes of [`Fault::Dripping`].
+const DRIP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// What crashes each replica that runs a request with it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Poison {
@@ -69,6 +72,8 @@
     Unsigned,
     /// The connection closes before the end of the response; a stream ends within its third event.
     Truncated,
+    /// The third event of a stream never ends, and grows by a byte now and then.
+    Dripping,
     /// The head of the response never ends.
     EndlessHead,
     /// The body of the response never ends, and holds no complete event.
@@ -485,7 +490,7 @@
             return std::future::pending().await;
         }
         if run.request_line.contains("/stream/") {
-            return self.stream_events(&run, &headers, fault == Some(Fault::Truncated)).await;
+            return self.stream_events(&run, &headers, fault).await;
         }
         time::sleep(self.options.response_delay).await;
         let body = format!("{} {}", run.request_line, run.request);
@@ -510,6 +515,18 @@
         }
     }
 
+    /// Sends an event that never ends, until the caller closes the connection.
+    async fn drip(&mut self) -> std::io::Result<()> {
+        self.stream.write_all(b"6\r\ndata: \r\n").await?;
+        let mut buf = [0; 1];
+        loop {
+            tokio::select! {
+                _ = self.stream.read(&mut buf) => return Ok(()),
+                () = time::sleep(DRIP_INTERVAL) => self.stream.write_all(b"1\r\nx\r\n").await?,
+            }
+        }
+    }
+
     fn stream_head(&self, headers: &[(&str, &str)]) -> String {
         let mut head =
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
@@ -525,7 +542,7 @@
         &mut self,
         run: &Run,
         headers: &[(&str, &str)],
-        is_truncated: bool,
+        fault: Option<Fault>,
     ) -> std::io::Result<()> {
         let head = self.stream_head(headers);
         self.stream.write_all(head.as_bytes()).await?;
@@ -538,7 +555,10 @@
                 () = time::sleep(self.options.response_delay) => {}
             }
             let mut event = format!("id: {id}\ndata: {} {id}\n\n", run.request);
-            let is_last = is_truncated && id == after + 3;
+            let is_last = fault == Some(Fault::Truncated) && id == after + 3;
+            if fault == Some(Fault::Dripping) && id == after + 3 {
+                return self.drip().await;
+            }
             if is_last {
                 event.truncate(event.len() / 2);
             }
