Gateway: answer the requests on connections that it accepts while it stops

Cause: when a stopping gateway closed its port, connections in the accept queue were reset with it, and those on which no request had been read were closed as idle.

--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use futures::FutureExt as _;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time;
 
 use crate::head_timeout::{BusyBody, HeadTimer, TimedStream};
 use crate::response::Body;
@@ -22,6 +24,10 @@
 /// Backoff after a failed accept, for example while the process has no file descriptors left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Time for which a stopping server waits for the first request on a connection that it has accepted. The request was sent
+/// with the handshake or shortly after it.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// Limits of a connection; they may change between connections while the server runs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionLimits {
@@ -52,8 +58,8 @@
 impl Server {
     /// Listens on an address and serves until the server is dropped.
     ///
-    /// When `stop` becomes true, the port and idle connections are closed at once, and busy connections after their
-    /// response.
+    /// When `stop` becomes true, the port and idle connections are closed at once, busy connections after their response, and
+    /// those that have just been opened after the response to their first request.
     ///
     /// # Errors
     /// When the address cannot be bound.
@@ -112,7 +118,11 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_stop(&mut stop) => return,
+            // Connections that callers have opened, and which would be reset with the port.
+            () = wait_for_stop(&mut stop) => match listener.accept().now_or_never() {
+                Some(accepted) => accepted,
+                None => return,
+            },
         };
         match accepted {
             Ok((stream, _)) => {
@@ -125,7 +135,7 @@
             }
             Err(err) => {
                 tracing::warn!(%err, "accepting a connection failed");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                time::sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
@@ -139,7 +149,9 @@
     let limits = service.limits();
     let timer = Arc::new(HeadTimer::default());
     let request_timer = timer.clone();
+    let (has_request, first_request) = watch::channel(false);
     let handler = service_fn(move |req| {
+        has_request.send_replace(true);
         let service = service.clone();
         let busy = request_timer.on_request();
         async move {
@@ -156,8 +168,17 @@
     let result = tokio::select! {
         result = &mut connection => result,
         () = wait_for_stop(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            let ended = tokio::select! {
+                result = &mut connection => Some(result),
+                () = wait_for_first(first_request) => None,
+            };
+            match ended {
+                Some(result) => result,
+                None => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
         () = timer.expired(limits.head_timeout) => {
             tracing::debug!(head_time = ?limits.head_timeout, "connection closed: timeout while receiving a request head");
@@ -169,6 +190,11 @@
     }
 }
 
+/// Waits for the first request on a connection, for [`FIRST_REQUEST_TIME`] at most.
+async fn wait_for_first(mut first_request: watch::Receiver<bool>) {
+    let _ = time::timeout(FIRST_REQUEST_TIME, first_request.wait_for(|seen| *seen)).await;
+}
+
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     // A dropped sender stops the server too.
     let _ = stop.wait_for(|stopped| *stopped).await;
