--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -194,6 +194,7 @@
             | Request::ReadAnswers(_)
             | Request::SyncQuarantines(_)
             | Request::AskProbe(_)
+            | Request::ReadTargets(_)
             | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an agent does not serve this".to_owned())).await?
             }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -75,6 +75,7 @@
             | Request::ReadAnswers(_)
             | Request::SyncQuarantines(_)
             | Request::AskProbe(_)
+            | Request::ReadTargets(_)
             | Request::AskLimit(_) => {
                 replies.send(&Reply::Refused("an entry does not serve this".to_owned())).await
             }
