--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -1,11 +1,11 @@
 //! Requests that crash the targets which run them: evidence of their cause, and what is refused because of it.
 //!
-//! A crash ends all requests of its target, so one crash says little of each of them. [`judge::Judge`] gathers what all
+//! A crash ends all requests of its target, so one crash says little of each of them. [`detector::Detector`] gathers what all
 //! gateways lost to the crashes of one pool, [`answers::AnswerLog`] holds what speaks for a suspect, and
 //! [`quarantine::Quarantines`] holds what is refused.
 
 pub mod answers;
-pub mod judge;
+pub mod detector;
 pub mod quarantine;
 
 use sha2::{Digest as _, Sha256};
--- a/crates/core/src/poison/detector.rs
+++ b/crates/core/src/poison/detector.rs
@@ -147,12 +147,12 @@
 
 /// Evidence of the crashes of one pool.
 #[derive(Debug, Default)]
-pub struct Judge {
+pub struct Detector {
     crashes: VecDeque<Crash>,
     answers: HashMap<(Suspect, SoftwareVersion), Uptime>,
 }
 
-impl Judge {
+impl Detector {
     /// Adds what a gateway lost to a crash; returns whether anything of it is new.
     pub fn record(&mut self, evidence: Evidence, now: Uptime) -> bool {
         while self.crashes.front().is_some_and(|crash| crash.at + EVIDENCE_WINDOW < now) {
@@ -280,7 +280,7 @@
     }
 
     /// Returns what `verdicts` mean for requests with all of `suspects`, which were blamed for a number of crashes before. Two
-    /// causes that come with one sound part may blame that one first. The verdict stands if this judge does not know all of
+    /// causes that come with one sound part may blame that one first. The verdict stands if this detector does not know all of
     /// these crashes.
     pub fn review(
         &self,
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::Suspect;
-use super::judge::{Review, Verdict};
+use super::detector::{Review, Verdict};
 use crate::ids::{Name, SoftwareVersion, Uptime};
 
 /// Time without a refusal after which an entry ends.
--- a/crates/core/src/target_limit.rs
+++ b/crates/core/src/target_limit.rs
@@ -60,7 +60,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
     /// Name of the gateway.
-    pub asker: Name,
+    pub gateway: Name,
     /// Priority of the request; zero is served first.
     pub priority: u8,
     /// Customer of the request.
@@ -132,15 +132,15 @@
         let urgent_reserve = self.more_urgent_demand(now, ask.priority).min(most_reserved);
         let share_reserve = if self.is_above_share(&ask) { most_reserved } else { 0.0 };
         let reserve = urgent_reserve.max(share_reserve);
-        let askers = 1 + self.other_askers(&ask.asker);
+        let gateways = 1 + self.other_gateways(&ask.gateway);
         // The result of a sum that should equal the capacity may be slightly below it.
         let available = (self.tokens - reserve + 1e-9).floor();
         let grant = if available >= 1.0 {
-            let batch = (rate * BATCH_TIME.as_secs_f64() / askers as f64).max(1.0);
+            let batch = (rate * BATCH_TIME.as_secs_f64() / gateways as f64).max(1.0);
             // Casts saturate.
             Grant::Granted(ask.wanted.min(batch as u32).min(available as u32))
         } else {
-            let missing = 1.0 + reserve - self.tokens + (askers - 1) as f64 / 2.0;
+            let missing = 1.0 + reserve - self.tokens + (gateways - 1) as f64 / 2.0;
             let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(WAIT_RANGE.1);
             let is_own_share = self.tokens - urgent_reserve >= 1.0;
             Grant::Denied { wait: wait.clamp(WAIT_RANGE.0, WAIT_RANGE.1), is_own_share }
@@ -174,9 +174,10 @@
     }
 
     /// Returns the number of other gateways that have asked recently.
-    fn other_askers(&self, asker: &str) -> usize {
-        let askers: BTreeSet<&str> = self.asks.iter().map(|past| past.ask.asker.as_str()).collect();
-        askers.iter().filter(|name| **name != asker).count()
+    fn other_gateways(&self, gateway: &str) -> usize {
+        let gateways: BTreeSet<&str> =
+            self.asks.iter().map(|past| past.ask.gateway.as_str()).collect();
+        gateways.iter().filter(|name| **name != gateway).count()
     }
 }
 
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -5,7 +5,7 @@
 
 use marigold_core::ids::Uptime;
 use marigold_core::poison::answers::{Answer, AnswerLog};
-use marigold_core::poison::judge::{Evidence, Judge, LostRun, Review, Verdict};
+use marigold_core::poison::detector::{Detector, Evidence, LostRun, Review, Verdict};
 use marigold_core::poison::quarantine::{Entry, IDLE_TIME, Key, MAX_PROBES, Quarantines};
 use marigold_core::poison::{self, Identity};
 
@@ -45,17 +45,17 @@
     Answer { suspect: suspect.to_owned(), version: version.to_owned(), at }
 }
 
-fn judge(crashes: impl IntoIterator<Item = Evidence>) -> Judge {
-    let mut judge = Judge::default();
+fn detector(crashes: impl IntoIterator<Item = Evidence>) -> Detector {
+    let mut detector = Detector::default();
     for evidence in crashes {
         let now = evidence.at;
-        judge.record(evidence, now);
+        detector.record(evidence, now);
     }
-    judge
+    detector
 }
 
-fn blamed(judge: &Judge) -> Vec<BTreeSet<String>> {
-    let verdicts = judge.verdicts(&judge.suspects_to_ask());
+fn blamed(detector: &Detector) -> Vec<BTreeSet<String>> {
+    let verdicts = detector.verdicts(&detector.suspects_to_ask());
     verdicts.into_iter().map(|verdict| verdict.suspects).collect()
 }
 
@@ -136,8 +136,8 @@
 #[test]
 fn verdicts_blame_a_request_after_three_crashes() {
     for crashes in 1..=3 {
-        let judge = judge((1..=crashes).map(|at| crash(at, &[waiting(&["request 1"])])));
-        assert_eq!(blamed(&judge).len(), usize::from(crashes == 3), "after {crashes}");
+        let detector = detector((1..=crashes).map(|at| crash(at, &[waiting(&["request 1"])])));
+        assert_eq!(blamed(&detector).len(), usize::from(crashes == 3), "after {crashes}");
     }
 }
 
@@ -147,8 +147,8 @@
     for crashes in 1..=4 {
         let others = (10..100).map(|at| crash(at, &[waiting(&[&format!("request s{at}")])]));
         let own = (1..=crashes).map(|at| crash(at * 15, &[waiting(&["request 1"])]));
-        let judge = judge(others.chain(own));
-        assert_eq!(blamed(&judge).len(), usize::from(crashes == 4), "after {crashes}");
+        let detector = detector(others.chain(own));
+        assert_eq!(blamed(&detector).len(), usize::from(crashes == 4), "after {crashes}");
     }
 }
 
@@ -160,7 +160,7 @@
     let other = suspects_of_prompt(&["system", "other"]);
     let run = |suspects: &Vec<String>| LostRun { suspects: suspects.clone(), ..begun(&[]) };
     for crashes in 1..=3_u64 {
-        let mut alone = judge((1..=crashes).map(|at| crash(at, &[run(&same)])));
+        let mut alone = detector((1..=crashes).map(|at| crash(at, &[run(&same)])));
         alone.record_answer(answer("part system", "v1", Duration::from_millis(500)));
         let verdicts = alone.verdicts(&alone.suspects_to_ask());
         assert_eq!(verdicts.len(), usize::from(crashes == 3), "after {crashes}");
@@ -174,9 +174,9 @@
         Identity { body: b"other", prompt_parts: &names(&["system", "other"]), ..IDENTITY };
     let other = poison::suspects(&identity);
     let alternate = (1..=6).map(|at| crash(at, &[run(if at % 2 == 0 { &same } else { &other })]));
-    let mut judge = judge(alternate);
-    judge.record_answer(answer("part system", "v1", Duration::from_millis(3_500)));
-    assert_eq!(blamed(&judge).len(), 2);
+    let mut detector = detector(alternate);
+    detector.record_answer(answer("part system", "v1", Duration::from_millis(3_500)));
+    assert_eq!(blamed(&detector).len(), 2);
 }
 
 /// Requests with one body and different prompts may differ in what crashes targets.
@@ -187,8 +187,8 @@
             let suspects = suspects_of_prompt(&[&format!("subject {at}"), &format!("own {at}")]);
             LostRun { suspects, ..begun(&[]) }
         };
-        let judge = judge((1..=crashes).map(|at| crash(at, &[run(at)])));
-        assert_eq!(blamed(&judge).len(), usize::from(crashes == 6), "after {crashes}");
+        let detector = detector((1..=crashes).map(|at| crash(at, &[run(at)])));
+        assert_eq!(blamed(&detector).len(), usize::from(crashes == 6), "after {crashes}");
     }
 }
 
@@ -196,24 +196,24 @@
 #[test]
 fn verdicts_prefer_the_part_to_the_requests_with_it() {
     let run = |at: u64| begun(&["part bad", &format!("request {}", at.min(3))]);
-    let judge = judge((1..=6).map(|at| crash(at, &[run(at)])));
-    assert_eq!(blamed(&judge), [set(&["part bad"])]);
+    let detector = detector((1..=6).map(|at| crash(at, &[run(at)])));
+    assert_eq!(blamed(&detector), [set(&["part bad"])]);
 }
 
 /// A part of nearly all prompts runs in every crash; answers between the crashes show that it is sound.
 #[test]
 fn verdicts_name_the_part_without_answers() {
     let run = |at: u64| [begun(&["bad", "system"]), waiting(&[&format!("s{at}"), "system"])];
-    let mut judge = judge((1..=5).map(|at| crash(at, &run(at))));
-    judge.record_answer(answer("system", "v1", Duration::from_millis(4_500)));
-    assert_eq!(blamed(&judge), [set(&["bad"])]);
+    let mut detector = detector((1..=5).map(|at| crash(at, &run(at))));
+    detector.record_answer(answer("system", "v1", Duration::from_millis(4_500)));
+    assert_eq!(blamed(&detector), [set(&["bad"])]);
 }
 
 #[test]
 fn verdicts_need_several_crashes() {
     for crashes in 1..4 {
-        let judge = judge((1..=crashes).map(|at| crash(at, &[begun(&["bad"])])));
-        assert!(blamed(&judge).is_empty(), "after {crashes}");
+        let detector = detector((1..=crashes).map(|at| crash(at, &[begun(&["bad"])])));
+        assert!(blamed(&detector).is_empty(), "after {crashes}");
     }
 }
 
@@ -224,7 +224,7 @@
         // Every other crash has nothing to do with the part.
         let all =
             (1..=12).map(move |at| crash(at, &[run(if at % 2 == 0 { &["bad"] } else { &[] })]));
-        (4..=12).find(|crashes| !blamed(&judge(all.clone().take(*crashes))).is_empty())
+        (4..=12).find(|crashes| !blamed(&detector(all.clone().take(*crashes))).is_empty())
     };
     assert_eq!(runs(begun), Some(10));
     assert_eq!(runs(waiting), Some(12));
@@ -235,8 +235,9 @@
 fn verdicts_need_more_crashes_among_many_others() {
     for crashes in 1..=6 {
         let others = (10..100).map(|at| crash(at, &[begun(&[&format!("s{at}")])]));
-        let judge = judge(others.chain((1..=crashes).map(|at| crash(at * 15, &[begun(&["bad"])]))));
-        assert_eq!(blamed(&judge).len(), usize::from(crashes == 6), "after {crashes}");
+        let detector =
+            detector(others.chain((1..=crashes).map(|at| crash(at * 15, &[begun(&["bad"])]))));
+        assert_eq!(blamed(&detector).len(), usize::from(crashes == 6), "after {crashes}");
     }
 }
 
@@ -245,79 +246,79 @@
 fn verdicts_do_not_blame_what_waited_at_a_few_crashes_without_a_known_cause() {
     let known = (1..=5).map(|at| crash(at * 2, &[begun(&["bad"]), waiting(&["sound"])]));
     let unreported = (1..=3).map(|at| crash(at * 2 + 1, &[waiting(&["sound"])]));
-    assert_eq!(blamed(&judge(known.chain(unreported))), [set(&["bad"])]);
+    assert_eq!(blamed(&detector(known.chain(unreported))), [set(&["bad"])]);
 }
 
 /// One crash is one piece of evidence, however many gateways report it.
 #[test]
 fn verdicts_count_a_start_of_a_target_once() {
-    let mut judge = Judge::default();
+    let mut detector = Detector::default();
     for part in 0..10 {
-        judge.record(crash(1, &[begun(&["bad", &format!("p{part}")])]), secs(1));
+        detector.record(crash(1, &[begun(&["bad", &format!("p{part}")])]), secs(1));
     }
-    assert_eq!(judge.len(), 1);
-    assert!(blamed(&judge).is_empty());
+    assert_eq!(detector.len(), 1);
+    assert!(blamed(&detector).is_empty());
 }
 
-/// A gateway that reports again because the answer of the judge was lost adds nothing.
+/// A gateway that reports again because the answer of the detector was lost adds nothing.
 #[test]
 fn record_tells_whether_evidence_is_new() {
-    let mut judge = Judge::default();
-    assert!(judge.record(crash(1, &[begun(&["bad"])]), secs(1)));
-    assert!(!judge.record(crash(1, &[begun(&["bad"])]), secs(1)));
-    assert!(judge.record(crash(1, &[waiting(&["other"])]), secs(1)));
+    let mut detector = Detector::default();
+    assert!(detector.record(crash(1, &[begun(&["bad"])]), secs(1)));
+    assert!(!detector.record(crash(1, &[begun(&["bad"])]), secs(1)));
+    assert!(detector.record(crash(1, &[waiting(&["other"])]), secs(1)));
 }
 
 /// The loss of a data centre ends many targets at once, with requests that have nothing to do with it.
 #[test]
 fn verdicts_count_crashes_at_one_time_once() {
-    let mut judge = Judge::default();
+    let mut detector = Detector::default();
     for number in 0..20_u64 {
         let at = secs(1) + Duration::from_millis(number % 90);
         let target = format!("target-{number}");
-        judge.record(Evidence { target, at, ..crash(1, &[begun(&["rare"])]) }, at);
+        detector.record(Evidence { target, at, ..crash(1, &[begun(&["rare"])]) }, at);
     }
-    assert!(blamed(&judge).is_empty());
+    assert!(blamed(&detector).is_empty());
 }
 
 /// The attempts of one request follow each other faster than targets that are lost together.
 #[test]
 fn verdicts_count_crashes_of_requests_sent_after_the_last_crash() {
-    let mut judge = Judge::default();
+    let mut detector = Detector::default();
     for number in 0..5_u64 {
         let at = secs(1) + Duration::from_millis(20 * number);
         let run = LostRun { ran: Duration::from_millis(15), ..begun(&["bad"]) };
         let target = format!("target-{number}");
-        judge.record(Evidence { target, at, ..crash(1, &[run]) }, at);
+        detector.record(Evidence { target, at, ..crash(1, &[run]) }, at);
     }
-    assert_eq!(blamed(&judge), [set(&["bad"])]);
+    assert_eq!(blamed(&detector), [set(&["bad"])]);
 }
 
 #[test]
 fn answer_after_the_crashes_acquits() {
-    let mut judge = judge((1..=6).map(|at| crash(at, &[begun(&["part"])])));
-    judge.record_answer(answer("part", "v1", secs(7)));
-    assert!(blamed(&judge).is_empty());
+    let mut detector = detector((1..=6).map(|at| crash(at, &[begun(&["part"])])));
+    detector.record_answer(answer("part", "v1", secs(7)));
+    assert!(blamed(&detector).is_empty());
 }
 
 /// A part that was sound for long may be bad at a new software version.
 #[test]
 fn answer_of_another_version_does_not_acquit() {
-    let mut judge = judge((1..=5).map(|at| crash(at, &[begun(&["part"])])));
-    judge.record_answer(answer("part", "v0", secs(7)));
-    assert_eq!(blamed(&judge), [set(&["part"])]);
+    let mut detector = detector((1..=5).map(|at| crash(at, &[begun(&["part"])])));
+    detector.record_answer(answer("part", "v0", secs(7)));
+    assert_eq!(blamed(&detector), [set(&["part"])]);
 }
 
 /// What was sound a moment ago needs more evidence than what nobody has used before.
 #[test]
 fn verdicts_need_more_crashes_after_an_answer() {
-    let mut judge = judge((1..=8).map(|at| crash(at, &[begun(&["part"])])));
-    judge.record_answer(answer("part", "v1", Duration::from_millis(500)));
-    assert_eq!(blamed(&judge), [set(&["part"])]);
-    judge.record_answer(answer("part", "v1", Duration::from_millis(2_500)));
-    assert_eq!(blamed(&judge), [set(&["part"])]);
-    judge.record_answer(answer("part", "v1", Duration::from_millis(3_500)));
-    assert!(blamed(&judge).is_empty());
+    let mut detector = detector((1..=8).map(|at| crash(at, &[begun(&["part"])])));
+    detector.record_answer(answer("part", "v1", Duration::from_millis(500)));
+    assert_eq!(blamed(&detector), [set(&["part"])]);
+    detector.record_answer(answer("part", "v1", Duration::from_millis(2_500)));
+    assert_eq!(blamed(&detector), [set(&["part"])]);
+    detector.record_answer(answer("part", "v1", Duration::from_millis(3_500)));
+    assert!(blamed(&detector).is_empty());
 }
 
 /// A sound part that was lost to nearly all crashes, without an answer in between, is not the cause of them.
@@ -327,8 +328,8 @@
         5 => vec![begun(&["bad"])],
         _ => vec![begun(&["bad"]), waiting(&["sound"])],
     };
-    let judge = judge((1..=5).map(|at| crash(at, &run(at))));
-    assert_eq!(blamed(&judge), [set(&["bad"])]);
+    let detector = detector((1..=5).map(|at| crash(at, &run(at))));
+    assert_eq!(blamed(&detector), [set(&["bad"])]);
 }
 
 #[test]
@@ -336,17 +337,17 @@
     // The second one waits while the first one crashes targets.
     let first = (1..=5).map(|at| crash(at, &[begun(&["bad-1"]), waiting(&["bad-2"])]));
     let second = (6..=10).map(|at| crash(at, &[begun(&["bad-2"]), waiting(&["bad-1"])]));
-    let judge = judge(first.chain(second));
-    assert_eq!(blamed(&judge), [set(&["bad-1"]), set(&["bad-2"])]);
+    let detector = detector(first.chain(second));
+    assert_eq!(blamed(&detector), [set(&["bad-1"]), set(&["bad-2"])]);
 }
 
 /// Parts that always come together cannot be told apart, so that neither is refused without the other.
 #[test]
 fn verdicts_join_what_always_comes_together() {
-    let mut judge = judge((1..=5).map(|at| crash(at, &[begun(&["bad", "system"])])));
-    assert_eq!(blamed(&judge), [set(&["bad", "system"])]);
-    judge.record(crash(6, &[begun(&["bad"])]), secs(6));
-    assert_eq!(blamed(&judge), [set(&["bad"])]);
+    let mut detector = detector((1..=5).map(|at| crash(at, &[begun(&["bad", "system"])])));
+    assert_eq!(blamed(&detector), [set(&["bad", "system"])]);
+    detector.record(crash(6, &[begun(&["bad"])]), secs(6));
+    assert_eq!(blamed(&detector), [set(&["bad"])]);
 }
 
 /// Two bad parts that come with a sound one may blame that one first, until each has crashes of its own.
@@ -354,21 +355,21 @@
 fn verdict_is_refuted_by_the_causes_that_are_found_later() {
     let bad = |at: u64| format!("bad-{}", at % 2);
     let with_sound = (1..=5).map(|at| crash(at, &[begun(&[&bad(at), "sound"])]));
-    let mut judge = judge(with_sound);
-    assert_eq!(blamed(&judge), [set(&["sound"])]);
+    let mut detector = detector(with_sound);
+    assert_eq!(blamed(&detector), [set(&["sound"])]);
     for at in 6..=17 {
-        judge.record(crash(at, &[begun(&[&bad(at)])]), secs(at));
+        detector.record(crash(at, &[begun(&[&bad(at)])]), secs(at));
     }
-    let verdicts = judge.verdicts(&judge.suspects_to_ask());
+    let verdicts = detector.verdicts(&detector.suspects_to_ask());
     assert_eq!(verdicts.len(), 2);
-    assert_eq!(judge.review(&set(&["sound"]), 5, &verdicts), Review::Refuted);
-    assert_eq!(judge.review(&set(&["bad-0"]), 5, &verdicts), Review::Stands);
-    assert_eq!(judge.review(&set(&["unknown"]), 5, &verdicts), Review::Stands);
-    // Another judge knew of crashes that this one does not know.
-    assert_eq!(judge.review(&set(&["sound"]), 6, &verdicts), Review::Stands);
+    assert_eq!(detector.review(&set(&["sound"]), 5, &verdicts), Review::Refuted);
+    assert_eq!(detector.review(&set(&["bad-0"]), 5, &verdicts), Review::Stands);
+    assert_eq!(detector.review(&set(&["unknown"]), 5, &verdicts), Review::Stands);
+    // Another detector knew of crashes that this one does not know.
+    assert_eq!(detector.review(&set(&["sound"]), 6, &verdicts), Review::Stands);
     let now = secs(18);
     let (mut quarantines, _) = quarantined(&["sound"], now);
-    let review = |entry: &Entry| judge.review(&entry.key.1, 5, &verdicts);
+    let review = |entry: &Entry| detector.review(&entry.key.1, 5, &verdicts);
     let reviewed = quarantines.review("pool", review, now);
     assert_eq!(reviewed.len(), 1);
     assert!(quarantines.find("pool", &names(&["sound"]), now).is_none());
@@ -378,10 +379,10 @@
 #[test]
 fn doubtful_verdict_is_probed_soon() {
     let with_bad = (1..=8).map(|at| crash(at, &[begun(&["bad"]), waiting(&["doubtful"])]));
-    let mut judge = judge(with_bad);
-    judge.record(crash(9, &[waiting(&["doubtful"])]), secs(9));
-    let verdicts = judge.verdicts(&judge.suspects_to_ask());
-    assert_eq!(judge.review(&set(&["doubtful"]), 4, &verdicts), Review::Doubtful);
+    let mut detector = detector(with_bad);
+    detector.record(crash(9, &[waiting(&["doubtful"])]), secs(9));
+    let verdicts = detector.verdicts(&detector.suspects_to_ask());
+    assert_eq!(detector.review(&set(&["doubtful"]), 4, &verdicts), Review::Doubtful);
     let now = secs(10);
     let (mut quarantines, entry) = quarantined(&["doubtful"], now);
     let listed = set(&["v1"]);
@@ -402,26 +403,26 @@
 /// Parts of different requests are never joined, since no request has both.
 #[test]
 fn verdicts_do_not_join_parts_of_different_requests() {
-    let judge = judge((1..=5).map(|at| crash(at, &[begun(&["bad"]), waiting(&["sound"])])));
-    assert_eq!(blamed(&judge), [set(&["bad"])]);
+    let detector = detector((1..=5).map(|at| crash(at, &[begun(&["bad"]), waiting(&["sound"])])));
+    assert_eq!(blamed(&detector), [set(&["bad"])]);
 }
 
 #[test]
 fn verdicts_blame_only_what_was_asked_for() {
-    let judge = judge((1..=5).map(|at| crash(at, &[begun(&["bad"])])));
-    assert!(judge.verdicts(&[]).is_empty());
+    let detector = detector((1..=5).map(|at| crash(at, &[begun(&["bad"])])));
+    assert!(detector.verdicts(&[]).is_empty());
 }
 
 #[test]
-fn judge_forgets_old_crashes_and_bounds_the_rest() {
-    let mut judge = judge((1..=5).map(|at| crash(at, &[begun(&["bad"])])));
+fn detector_forgets_old_crashes_and_bounds_the_rest() {
+    let mut detector = detector((1..=5).map(|at| crash(at, &[begun(&["bad"])])));
     let much_later = 3 * 3_600;
-    judge.record(crash(much_later, &[begun(&["bad"])]), secs(much_later));
-    assert_eq!(judge.len(), 1);
+    detector.record(crash(much_later, &[begun(&["bad"])]), secs(much_later));
+    assert_eq!(detector.len(), 1);
     for at in much_later..much_later + 1_000 {
-        judge.record(crash(at, &[begun(&["bad"])]), secs(at));
+        detector.record(crash(at, &[begun(&["bad"])]), secs(at));
     }
-    assert!(judge.len() <= 128);
+    assert!(detector.len() <= 128);
 }
 
 #[test]
--- a/crates/core/tests/poison_random.rs
+++ b/crates/core/tests/poison_random.rs
@@ -1,4 +1,4 @@
-//! Random crashes and requests against the judge of a pool: it must blame what crashes targets, and nothing else.
+//! Random crashes and requests against the detector of a pool: it must blame what crashes targets, and nothing else.
 //!
 //! `POISON_SEEDS=400 cargo test -p marigold-core --test poison_random` plays more seeds.
 
@@ -7,7 +7,7 @@
 
 use marigold_core::ids::Uptime;
 use marigold_core::poison::answers::Answer;
-use marigold_core::poison::judge::{Evidence, Judge, LostRun, Review};
+use marigold_core::poison::detector::{Detector, Evidence, LostRun, Review};
 use marigold_core::poison::quarantine;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -92,7 +92,7 @@
 
 fn play(seed: u64, scenario: Scenario) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut judge = Judge::default();
+    let mut detector = Detector::default();
     let mut blamed: BTreeSet<BTreeSet<String>> = BTreeSet::new();
     // Number of requests that found out whether a verdict is right, and when the next one may.
     let mut probes: BTreeMap<BTreeSet<String>, (u64, u64)> = BTreeMap::new();
@@ -131,7 +131,11 @@
                 } else {
                     blamed.retain(|set| !is_in(set, &request.suspects));
                     for suspect in request.suspects {
-                        judge.record_answer(Answer { suspect, version: "v1".to_owned(), at: now });
+                        detector.record_answer(Answer {
+                            suspect,
+                            version: "v1".to_owned(),
+                            at: now,
+                        });
                     }
                 }
             }
@@ -162,7 +166,7 @@
                     at: now,
                     runs: runs.collect(),
                 };
-                judge.record(evidence, now);
+                detector.record(evidence, now);
             }
             for mut request in lost {
                 request.attempts_left -= 1;
@@ -172,15 +176,15 @@
                     arriving.push(request);
                 }
             }
-            let verdicts = judge.verdicts(&judge.suspects_to_ask());
+            let verdicts = detector.verdicts(&detector.suspects_to_ask());
             for suspects in &blamed {
-                if judge.review(suspects, 0, &verdicts) == Review::Doubtful
+                if detector.review(suspects, 0, &verdicts) == Review::Doubtful
                     && let Some((sent, next)) = probes.get_mut(suspects)
                 {
                     *next = (*next).min(step + 500 * *sent);
                 }
             }
-            blamed.retain(|suspects| judge.review(suspects, 0, &verdicts) != Review::Refuted);
+            blamed.retain(|suspects| detector.review(suspects, 0, &verdicts) != Review::Refuted);
             for verdict in verdicts {
                 probes.entry(verdict.suspects.clone()).or_insert((0, step + PROBE_STEPS));
                 blamed.insert(verdict.suspects);
@@ -237,7 +241,7 @@
     }
 }
 
-/// Crashes that no request causes end sound requests at random; a judge that blames one of them refuses sound customers.
+/// Crashes that no request causes end sound requests at random; a detector that blames one of them refuses sound customers.
 #[test]
 fn random_crashes_blame_nobody() {
     // Each target crashes each 20 s and each 4 s on average.
@@ -274,7 +278,7 @@
     check_seeds(TWO_BAD_PARTS, 294..295);
 }
 
-/// The judges learn of too few of the crashes.
+/// The detectors learn of too few of the crashes.
 #[test]
 fn bad_part_is_blamed_in_time_in_seed_92() {
     check_seeds(LOST_REPORTS, 92..93);
--- a/crates/core/tests/target_limit.rs
+++ b/crates/core/tests/target_limit.rs
@@ -38,8 +38,8 @@
     assert_merged(low, notice(Some(2.0), 12, 18), low);
 }
 
-fn ask(asker: &str, priority: u8, customer: &str, wanted: u32) -> Ask {
-    Ask { asker: asker.to_owned(), priority, customer: Some(customer.to_owned()), wanted }
+fn ask(gateway: &str, priority: u8, customer: &str, wanted: u32) -> Ask {
+    Ask { gateway: gateway.to_owned(), priority, customer: Some(customer.to_owned()), wanted }
 }
 
 /// Asks each `step_ms` in turn for `seconds`, and returns the times of all granted requests.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -35,9 +35,9 @@
 const MAX_GRANT: u32 = 64;
 /// Time for which a limit is remembered after its last use, when its target is not listed or it has ended.
 const RETENTION: Duration = Duration::from_secs(30);
-/// Time for which a change of a limit is told to other gateways in polls; it reaches all within a few polls.
+/// Time for which a change of a limit is sent to other gateways in polls; it reaches all within a few polls.
 const TELLING_TIME: Duration = Duration::from_secs(3);
-/// Maximum number of changes that are told in one poll.
+/// Maximum number of changes that are sent in one poll.
 const MAX_TOLD: usize = 16;
 /// Maximum number of targets whose limits are remembered; the asks of other gateways could otherwise exhaust memory.
 const MAX_TARGETS: usize = 16_384;
@@ -196,7 +196,7 @@
 enum Step {
     Send,
     Skip,
-    /// Ask the owner of the limit for so many requests; it is told what is known of the limit.
+    /// Ask the owner of the limit for so many requests; the message holds what is known of the limit.
     Ask(Notice, u32),
 }
 
@@ -440,7 +440,7 @@
     let now = boottime::now();
     let reachable = shared.members.reachable_part(now);
     let ask = Ask {
-        asker: shared.settings().name.clone(),
+        gateway: shared.settings().name.clone(),
         priority: demand.priority,
         customer: demand.customer.map(str::to_owned),
         wanted,
--- a/crates/gateway/src/limits/asks.rs
+++ b/crates/gateway/src/limits/asks.rs
@@ -29,7 +29,7 @@
 ) -> LimitAsk {
     let (target, started_at_ms) = start_of(tracked);
     LimitAsk {
-        asker: shared.settings().name.clone(),
+        gateway: shared.settings().name.clone(),
         target,
         started_at_ms,
         pool: tracked.target.pool.clone(),
@@ -40,7 +40,7 @@
     }
 }
 
-/// Returns what is told to other gateways of a limit that has changed.
+/// Returns what is sent to other gateways of a limit that has changed.
 pub(super) fn to_target_limit(
     (target, started_at_ms): &TargetStart,
     limit: &TargetLimit,
@@ -54,7 +54,7 @@
     }
 }
 
-/// Merges changes of limits that another gateway told in a message that was sent at `earliest` or later.
+/// Merges changes of limits that another gateway sent in a message at `earliest` or later.
 pub(crate) fn merge_changed<D: Dialect, S>(
     shared: &Shared<D, S>,
     changed: Vec<messages::TargetLimit>,
@@ -137,7 +137,7 @@
     let limit = targets.entry(start).or_insert_with(|| TargetLimit::new(ask.pool.clone(), now));
     limit.merge(&ask.target, notice, "gateway");
     let question = Ask {
-        asker: ask.asker,
+        gateway: ask.gateway,
         priority: ask.priority,
         customer: ask.customer,
         wanted: ask.wanted.min(MAX_GRANT),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -322,16 +322,16 @@
         member.map_or(Owner::Local, Owner::Remote)
     }
 
-    /// Returns the `count` gateways that judge the crashes of a pool, in the order in which they do.
-    pub(crate) fn judges(&self, pool: &str, count: usize) -> Vec<Owner> {
+    /// Returns the `count` gateways that search the crashes of a pool, in their order of rank.
+    pub(crate) fn detectors(&self, pool: &str, count: usize) -> Vec<Owner> {
         let state = self.state.lock();
         let others = state.others.values().filter(|member| member.is_alive());
         let names = others.map(|member| &member.name).chain([&self.name]);
-        let judges = rendezvous::rank(pool, names).into_iter().take(count);
+        let detectors = rendezvous::rank(pool, names).into_iter().take(count);
         let owner = |name: &Name| {
             state.others.get(name).map_or(Owner::Local, |member| Owner::Remote(member.clone()))
         };
-        judges.map(owner).collect()
+        detectors.map(owner).collect()
     }
 
     /// Returns the owner of a quarantine, which grants its probes.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -134,9 +134,9 @@
     }
 }
 
-/// Sends the report of a crash to a judge of its pool.
-pub(crate) async fn report_crash(judge: &Member, report: CrashReport) -> Result<(), String> {
-    match exchange(judge, &Request::ReportCrash(report), evidence::MESSAGE_TIMEOUT).await? {
+/// Sends the report of a crash to a detector of its pool.
+pub(crate) async fn report_crash(detector: &Member, report: CrashReport) -> Result<(), String> {
+    match exchange(detector, &Request::ReportCrash(report), evidence::MESSAGE_TIMEOUT).await? {
         Reply::Accepted(true) => Ok(()),
         reply => Err(format!("unexpected reply {reply:?}")),
     }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -1,6 +1,6 @@
 //! Requests that crash targets: evidence that gateways gather together, and what they refuse because of it.
 //!
-//! Each gateway reports what it lost to a crash to the judges of the pool, two gateways that are chosen by hashing. Each of
+//! Each gateway reports what it lost to a crash to the detectors of the pool, two gateways that are chosen by hashing. Each of
 //! them finds what the crashes have in common, asks all gateways for answers that speak against it, and tells all of
 //! them what to refuse. Gateways compare what they refuse with each poll.
 
@@ -13,7 +13,7 @@
 
 use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::poison::answers::AnswerLog;
-use marigold_core::poison::judge::Judge;
+use marigold_core::poison::detector::Detector;
 use marigold_core::poison::quarantine::{Entry, Quarantines};
 use marigold_core::poison::{self, Suspect};
 use marigold_objects::Store;
@@ -25,16 +25,16 @@
 use crate::dialect::Dialect;
 use crate::shared::Shared;
 
-/// Judge of a pool on this gateway.
+/// Detector of a pool on this gateway.
 #[derive(Default)]
-struct PoolJudge {
-    judge: Judge,
-    /// Whether there is evidence that has not been judged.
+struct PoolDetector {
+    detector: Detector,
+    /// Whether there is evidence that has not been searched.
     is_due: bool,
-    is_judging: bool,
+    is_detecting: bool,
 }
 
-/// A report of this gateway, and the judges that have it, with the runs of their processes.
+/// A report of this gateway, and the detectors that have it, with the runs of their processes.
 struct SentReport {
     report: CrashReport,
     at: Uptime,
@@ -49,7 +49,7 @@
     /// Answers to whole requests, which would push out those with parts.
     request_answers: Mutex<AnswerLog>,
     reports: Mutex<Vec<SentReport>>,
-    judges: Mutex<HashMap<Name, PoolJudge>>,
+    detectors: Mutex<HashMap<Name, PoolDetector>>,
     quarantines: Mutex<Quarantines>,
     /// Whether there are quarantines, so that requests do not take the lock without them.
     has_quarantines: AtomicBool,
@@ -149,7 +149,7 @@
         }
     }
     evidence::resend(shared, now);
-    evidence::judge_due(shared);
+    evidence::detect_due(shared);
 }
 
 /// Returns the suspects of a quarantine as text.
--- a/crates/gateway/src/poison/evidence.rs
+++ b/crates/gateway/src/poison/evidence.rs
@@ -1,4 +1,4 @@
-//! Reports of crashes, and the judging of a pool's crashes.
+//! Reports of crashes, and the search for what a pool's crashes have in common.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use marigold_core::ids::{Incarnation, Name, Uptime};
 use marigold_core::poison::Suspect;
 use marigold_core::poison::answers::Answer;
-use marigold_core::poison::judge::{Evidence, LostRun};
+use marigold_core::poison::detector::{Evidence, LostRun};
 use marigold_core::poison::quarantine::Entry;
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -22,15 +22,15 @@
 use crate::peers;
 use crate::shared::Shared;
 
-/// Number of gateways that keep the evidence of a pool and judge it. One of them may end, and lacks evidence when it is back.
-const JUDGES: usize = 2;
+/// Number of gateways that keep the evidence of a pool and search it. One of them may end, and lacks evidence when it is back.
+const DETECTORS: usize = 2;
 /// Time within which the other gateways report the same crash.
 const REPORTING_TIME: Duration = Duration::from_millis(150);
 /// Minimum time from one question for answers to the next, in a pool.
-const JUDGING_INTERVAL: Duration = Duration::from_millis(400);
+const DETECTION_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a message between gateways.
 pub(crate) const MESSAGE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a gateway sends its reports again to judges that do not have them.
+/// Time for which a gateway sends its reports again to detectors that do not have them.
 const REPORT_RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of reports that a gateway sends again.
 const MAX_REPORTS: usize = 64;
@@ -68,23 +68,23 @@
     resend(shared, boottime::now());
 }
 
-/// Sends the reports of this gateway to the judges that do not have them.
+/// Sends the reports of this gateway to the detectors that do not have them.
 pub(super) fn resend<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, now: Uptime) {
     let mut due = Vec::new();
     {
         let mut reports = shared.poison.reports.lock();
         reports.retain(|sent| now < sent.at + REPORT_RETENTION);
         for sent in reports.iter() {
-            for judge in shared.members.judges(&sent.report.pool, JUDGES) {
-                if !sent.acknowledged.contains(&incarnation(shared, &judge)) {
+            for detector in shared.members.detectors(&sent.report.pool, DETECTORS) {
+                if !sent.acknowledged.contains(&incarnation(shared, &detector)) {
                     let age_ms = now.saturating_sub(sent.at).as_millis() as u64;
-                    due.push((judge, CrashReport { age_ms, ..sent.report.clone() }));
+                    due.push((detector, CrashReport { age_ms, ..sent.report.clone() }));
                 }
             }
         }
     }
-    for (judge, report) in due {
-        match judge {
+    for (detector, report) in due {
+        match detector {
             Owner::Local => {
                 acknowledge(shared, &report, incarnation(shared, &Owner::Local));
                 keep(shared, report, now);
@@ -94,8 +94,8 @@
                 tokio::spawn(async move {
                     match peers::report_crash(&member, report.clone()).await {
                         Ok(()) => {
-                            let judge = incarnation(&shared, &Owner::Remote(member));
-                            acknowledge(&shared, &report, judge);
+                            let detector = incarnation(&shared, &Owner::Remote(member));
+                            acknowledge(&shared, &report, detector);
                         }
                         Err(err) => {
                             tracing::debug!(member = member.name, err, "crash not reported");
@@ -107,9 +107,9 @@
     }
 }
 
-/// Returns which run of a judge's process is meant; one that was restarted has no reports.
-fn incarnation<D: Dialect, S>(shared: &Shared<D, S>, judge: &Owner) -> (Name, Incarnation) {
-    match judge {
+/// Returns which run of a detector's process is meant; one that was restarted has no reports.
+fn incarnation<D: Dialect, S>(shared: &Shared<D, S>, detector: &Owner) -> (Name, Incarnation) {
+    match detector {
         Owner::Local => (shared.settings().name.clone(), shared.incarnation),
         Owner::Remote(member) => (member.name.clone(), member.incarnation),
     }
@@ -118,7 +118,7 @@
 fn acknowledge<D: Dialect, S>(
     shared: &Shared<D, S>,
     report: &CrashReport,
-    judge: (Name, Incarnation),
+    detector: (Name, Incarnation),
 ) {
     let mut reports = shared.poison.reports.lock();
     let sent = reports.iter_mut().find(|sent| {
@@ -127,11 +127,11 @@
             && sent.report.runs == report.runs
     });
     if let Some(sent) = sent {
-        sent.acknowledged.push(judge);
+        sent.acknowledged.push(detector);
     }
 }
 
-/// Keeps a report of this or another gateway, as a judge; returns false if there is no room.
+/// Keeps a report of this or another gateway, as a detector; returns false if there is no room.
 pub(crate) fn keep<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     report: CrashReport,
@@ -145,66 +145,66 @@
         at: now.saturating_sub(Duration::from_millis(report.age_ms)),
         runs: report.runs.into_iter().map(LostRun::from).collect(),
     };
-    let mut judges = shared.poison.judges.lock();
-    if judges.len() >= MAX_POOLS && !judges.contains_key(&pool) {
+    let mut detectors = shared.poison.detectors.lock();
+    if detectors.len() >= MAX_POOLS && !detectors.contains_key(&pool) {
         tracing::warn!(pool, "too many pools with crashes; report dropped");
         return false;
     }
-    let judge = judges.entry(pool.clone()).or_default();
-    if judge.judge.record(evidence, now) {
-        judge.is_due = true;
-        drop(judges);
-        judge_soon(shared, pool);
+    let detector = detectors.entry(pool.clone()).or_default();
+    if detector.detector.record(evidence, now) {
+        detector.is_due = true;
+        drop(detectors);
+        detect_soon(shared, pool);
     }
     true
 }
 
-/// Judges the pools with new evidence of which this gateway is a judge.
-pub(super) fn judge_due<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>) {
-    let judges = shared.poison.judges.lock();
-    let due = judges.iter().filter(|(_, judge)| judge.is_due && !judge.is_judging);
+/// Searches the evidence of the pools of which this gateway is a detector.
+pub(super) fn detect_due<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>) {
+    let detectors = shared.poison.detectors.lock();
+    let due = detectors.iter().filter(|(_, detector)| detector.is_due && !detector.is_detecting);
     let due: Vec<String> = due.map(|(pool, _)| pool.clone()).collect();
-    drop(judges);
+    drop(detectors);
     for pool in due {
-        judge_soon(shared, pool);
+        detect_soon(shared, pool);
     }
 }
 
-fn judge_soon<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, pool: String) {
-    let judges = shared.members.judges(&pool, JUDGES);
-    if !judges.iter().any(|judge| matches!(judge, Owner::Local)) {
+fn detect_soon<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, pool: String) {
+    let detectors = shared.members.detectors(&pool, DETECTORS);
+    if !detectors.iter().any(|detector| matches!(detector, Owner::Local)) {
         return;
     }
-    let mut judges = shared.poison.judges.lock();
-    let Some(judge) = judges.get_mut(&pool) else { return };
-    if std::mem::replace(&mut judge.is_judging, true) {
+    let mut detectors = shared.poison.detectors.lock();
+    let Some(detector) = detectors.get_mut(&pool) else { return };
+    if std::mem::replace(&mut detector.is_detecting, true) {
         return;
     }
-    tokio::spawn(judge_while_due(shared.clone(), pool));
+    tokio::spawn(detect_while_due(shared.clone(), pool));
 }
 
-async fn judge_while_due<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, pool: String) {
+async fn detect_while_due<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, pool: String) {
     loop {
         time::sleep(REPORTING_TIME).await;
         let asked = {
-            let mut judges = shared.poison.judges.lock();
-            let Some(judge) = judges.get_mut(&pool) else { return };
-            if !judge.is_due {
-                judge.is_judging = false;
+            let mut detectors = shared.poison.detectors.lock();
+            let Some(detector) = detectors.get_mut(&pool) else { return };
+            if !detector.is_due {
+                detector.is_detecting = false;
                 return;
             }
-            judge.is_due = false;
-            judge.judge.suspects_to_ask()
+            detector.is_due = false;
+            detector.detector.suspects_to_ask()
         };
         if !asked.is_empty() {
-            judge_pool(&shared, &pool, asked).await;
-            time::sleep(JUDGING_INTERVAL - REPORTING_TIME).await;
+            detect_in_pool(&shared, &pool, asked).await;
+            time::sleep(DETECTION_INTERVAL - REPORTING_TIME).await;
         }
     }
 }
 
 /// Asks all gateways for answers to requests with the suspects, and blames those without any.
-async fn judge_pool<D: Dialect, S: Store>(
+async fn detect_in_pool<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     pool: &str,
     asked: Vec<Suspect>,
@@ -226,12 +226,13 @@
     }
     let now = boottime::now();
     let (verdicts, reviewed) = {
-        let mut judges = shared.poison.judges.lock();
-        let Some(judge) = judges.get_mut(pool) else { return };
-        answers.into_iter().for_each(|answer| judge.judge.record_answer(answer));
-        let verdicts = judge.judge.verdicts(&asked);
-        let review =
-            |entry: &Entry| judge.judge.review(&entry.key.1, entry.crashes as usize, &verdicts);
+        let mut detectors = shared.poison.detectors.lock();
+        let Some(detector) = detectors.get_mut(pool) else { return };
+        answers.into_iter().for_each(|answer| detector.detector.record_answer(answer));
+        let verdicts = detector.detector.verdicts(&asked);
+        let review = |entry: &Entry| {
+            detector.detector.review(&entry.key.1, entry.crashes as usize, &verdicts)
+        };
         let reviewed = shared.poison.change(|all| all.review(pool, review, now));
         (verdicts, reviewed)
     };
@@ -259,7 +260,7 @@
     }
 }
 
-/// Answers the question of a judge from the answers that this gateway remembers.
+/// Answers the question of a detector from the answers that this gateway remembers.
 pub(crate) fn answer<D: Dialect, S>(shared: &Shared<D, S>, query: &AnswerQuery) -> AnswerAges {
     let now = boottime::now();
     let mut found = shared.poison.answers.lock().find(&query.pool, &query.suspects);
--- a/crates/model/src/poison.rs
+++ b/crates/model/src/poison.rs
@@ -21,12 +21,12 @@
 pub enum Rule {
     /// A part is blamed after several crashes, not after one.
     SeveralCrashes,
-    /// All gateways are asked for answers before a part is blamed, not the judge's own memory only.
+    /// All gateways are asked for answers before a part is blamed, not the detector's own memory only.
     AskAll,
-    /// Two gateways keep the evidence, and those that reported it send it again to a new judge.
+    /// Two gateways keep the evidence, and those that reported it send it again to a new detector.
     KeptTwice,
-    /// Both gateways that keep the evidence judge it, since one that has restarted may lack some.
-    BothJudge,
+    /// Both gateways that keep the evidence search it, since one that has restarted may lack some.
+    BothDetect,
     /// Gateways compare what they refuse, so that those learn it which missed the announcement.
     Compared,
 }
@@ -36,7 +36,7 @@
     is_cut_off: bool,
     /// Crashes that it lost a request to, as bits.
     own: u8,
-    /// Crashes that it knows as a judge.
+    /// Crashes that it knows as a detector.
     known: u8,
     /// Whether it answered a request with the sound part.
     has_answer: bool,
@@ -96,23 +96,23 @@
             next.extend(cut_off(state, gateway));
             next.extend(reconnect(state, gateway));
             next.extend(self.report(state, gateway));
-            next.extend(self.judge(state, gateway));
+            next.extend(self.detector(state, gateway));
         }
         next.extend(self.settle(state));
         next
     }
 
-    /// Returns the judges in the view of a gateway, which reaches no other one while either is cut off.
-    fn judges(&self, state: &State, gateway: usize) -> Vec<usize> {
+    /// Returns the detectors in the view of a gateway, which reaches no other one while either is cut off.
+    fn detectors(&self, state: &State, gateway: usize) -> Vec<usize> {
         let count = if self.is_enforced(Rule::KeptTwice) { 2 } else { 1 };
         (0..GATEWAYS).filter(|other| is_reached(state, gateway, *other)).take(count).collect()
     }
 
-    /// A gateway sends its reports to the judges.
+    /// A gateway sends its reports to the detectors.
     fn report(&self, state: &State, gateway: usize) -> Option<State> {
         let mut next = state.clone();
-        for judge in self.judges(state, gateway) {
-            next.gateways[judge].known |= state.gateways[gateway].own;
+        for detector in self.detectors(state, gateway) {
+            next.gateways[detector].known |= state.gateways[gateway].own;
         }
         if !self.is_enforced(Rule::KeptTwice) {
             // The report is sent once.
@@ -121,12 +121,12 @@
         (next != *state).then_some(next)
     }
 
-    /// A judge blames what was lost to enough crashes, and announces it once to the gateways that it reaches.
-    fn judge(&self, state: &State, gateway: usize) -> Option<State> {
-        let judges = self.judges(state, gateway);
-        let count = if self.is_enforced(Rule::BothJudge) { 2 } else { 1 };
-        let is_judge = judges.iter().take(count).any(|judge| *judge == gateway);
-        if !is_judge || state.gateways[gateway].refuses_bad {
+    /// A detector blames what was lost to enough crashes, and announces it once to the gateways that it reaches.
+    fn detector(&self, state: &State, gateway: usize) -> Option<State> {
+        let detectors = self.detectors(state, gateway);
+        let count = if self.is_enforced(Rule::BothDetect) { 2 } else { 1 };
+        let is_detector = detectors.iter().take(count).any(|detector| *detector == gateway);
+        if !is_detector || state.gateways[gateway].refuses_bad {
             return None;
         }
         let threshold = if self.is_enforced(Rule::SeveralCrashes) { THRESHOLD } else { 1 };
@@ -162,7 +162,7 @@
             next = self.report(&next, gateway).unwrap_or(next);
         }
         for gateway in 0..GATEWAYS {
-            next = self.judge(&next, gateway).unwrap_or(next);
+            next = self.detector(&next, gateway).unwrap_or(next);
         }
         if self.is_enforced(Rule::Compared) {
             for gateway in 0..GATEWAYS {
@@ -192,10 +192,10 @@
 
 /// A request with the bad part crashes a target, unless the gateway refuses it. A gateway that is cut off is not in touch,
 /// and its requests do not count. Reports are faster than the crashes that one gateway sees, so it has at most one that no
-/// judge knows.
+/// detector knows.
 fn bad_request(state: &State, gateway: usize) -> Option<State> {
     let sender = &state.gateways[gateway];
-    let known = state.gateways.iter().fold(0, |known, judge| known | judge.known);
+    let known = state.gateways.iter().fold(0, |known, detector| known | detector.known);
     let is_reported = sender.own & !known == 0;
     let is_allowed = state.crashes < MAX_CRASHES
         && !sender.refuses_bad
--- a/crates/model/tests/poison.rs
+++ b/crates/model/tests/poison.rs
@@ -34,11 +34,11 @@
     assert_eq!(violation(Scope::Kill, Rule::KeptTwice), expected);
 }
 
-/// The first judge that restarts lacks what only its successor knows.
+/// The first detector that restarts lacks what only its successor knows.
 #[test]
-fn explore_misses_evidence_if_only_the_first_judge_decides() {
+fn explore_misses_evidence_if_only_the_first_detector_decides() {
     let expected = Some("a gateway still serves the bad part");
-    assert_eq!(violation(Scope::Kill, Rule::BothJudge), expected);
+    assert_eq!(violation(Scope::Kill, Rule::BothDetect), expected);
 }
 
 #[test]
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -930,7 +930,7 @@
 ///  "description": "Asks the owner of a target's limit for requests that may be sent to the target.",
 ///  "type": "object",
 ///  "required": [
-///    "asker",
+///    "gateway",
 ///    "notice",
 ///    "pool",
 ///    "priority",
@@ -939,11 +939,11 @@
 ///    "wanted"
 ///  ],
 ///  "properties": {
-///    "asker": {
-///      "description": "Name of the gateway.",
+///    "customer": {
 ///      "type": "string"
 ///    },
-///    "customer": {
+///    "gateway": {
+///      "description": "Name of the gateway.",
 ///      "type": "string"
 ///    },
 ///    "notice": {
@@ -976,10 +976,10 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LimitAsk {
-    ///Name of the gateway.
-    pub asker: ::std::string::String,
     #[serde(default)]
     pub customer: ::std::option::Option<::std::string::String>,
+    ///Name of the gateway.
+    pub gateway: ::std::string::String,
     pub notice: LimitNotice,
     pub pool: ::std::string::String,
     ///Priority of the request; zero is served first.
