Model of the lists of targets that gateways get from each other

With one answer on its way to a gateway at a time OwnVersion and NoOlderList were not needed, so the model lets an answer of the store and one of a peer overtake each other.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod poison;
 pub mod restore;
 mod search;
+pub mod target_relay;
 
 pub use search::Exploration;
