--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,19 +12,20 @@
 use marigold_schema::messages;
 use marigold_schema::messages::{
     AnswerAges, AnswerQuery, ConfigText, CrashReport, GatewayFacts, LimitAsk, LimitGrant, ProbeAsk,
-    QuarantineList, Reply, Request, RunStage, StageDone, StageRelease, StoreVersion, TargetChanges,
+    QuarantineList, Reply, Request, RunStage, StageDone, StageRelease, TargetChanges,
 };
 use tokio::time;
 
 use crate::batcher;
 use crate::dialect::Dialect;
+use crate::discovery;
 use crate::limits;
 use crate::members::{Member, Owner};
 use crate::origins;
 use crate::poison;
 use crate::poison::{evidence, spread};
 use crate::shared::Shared;
-use crate::target_relay;
+use crate::target_relay::{self, Step};
 
 /// Interval at which peers are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
@@ -172,17 +173,6 @@
     }
 }
 
-/// Asks a gateway for the changes of the list of targets after a version.
-pub(crate) async fn read_targets(
-    member: &Member,
-    after: StoreVersion,
-) -> Result<TargetChanges, String> {
-    match exchange(member, &Request::ReadTargets(after), REPLY_TIMEOUT).await? {
-        Reply::TargetChanges(changes) => Ok(changes),
-        reply => Err(format!("unexpected reply {reply:?}")),
-    }
-}
-
 /// Polls the state of the relevant peers, until the process ends.
 pub(crate) async fn poll_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     loop {
@@ -228,7 +218,11 @@
         return;
     }
     shared.members.on_facts(&facts);
-    target_relay::sync(&shared, &member, &facts, sent).await;
+    if let Some(state) = &facts.targets
+        && let Err(err) = sync_targets(&shared, &member, state, sent).await
+    {
+        tracing::debug!(member = member.name, err, "changes of targets not read");
+    }
     limits::merge_changed(&shared, facts.limits.clone(), sent);
     spread::sync(&shared, &member, facts.quarantines).await;
     if !shared.remaining_grace_period(boottime::now()).is_zero() {
@@ -256,7 +250,7 @@
 
 /// Adds what a peer knows of the store's service. The peer determined the ages between the request, sent at `sent`, and its
 /// reply; the period is taken as short as that allows.
-pub(crate) fn merge_store_service<D: Dialect, S: Store>(
+fn merge_store_service<D: Dialect, S: Store>(
     shared: &Shared<D, S>,
     service: &messages::StoreService,
     sent: Uptime,
@@ -280,6 +274,41 @@
         .unwrap_or_else(|_| Err(format!("no reply within {timeout:?}")))
 }
 
+/// Adopts newer changes of the list of targets, or a newer proof that there are none, from a peer.
+async fn sync_targets<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
+    member: &Member,
+    state: &messages::TargetsState,
+    sent: Uptime,
+) -> Result<(), String> {
+    let step = target_relay::compare(&mut shared.target_changes.lock(), state, sent);
+    let after = match step {
+        Step::Ignore => return Ok(()),
+        Step::Verified(at) => {
+            shared.record_relayed_targets(at);
+            return Ok(());
+        }
+        Step::Ask(after) => after,
+    };
+    let sent = boottime::now();
+    let req = Request::ReadTargets(target_relay::question(after));
+    let TargetChanges { state, objects, service } =
+        match exchange(member, &req, REPLY_TIMEOUT).await? {
+            Reply::TargetChanges(changes) => changes,
+            reply => return Err(format!("unexpected reply {reply:?}")),
+        };
+    // Before the changes are applied: entries that expired in an outage are kept for a while.
+    if let Some(service) = service {
+        merge_store_service(shared, &service, sent);
+    }
+    let (changes, at) = target_relay::parse(&state, objects, sent);
+    discovery::apply_target_changes(shared, &changes, after, at);
+    if shared.target_changes.lock().version() == changes.version {
+        shared.record_relayed_targets(at);
+    }
+    Ok(())
+}
+
 /// Adopts a newer configuration and a newer proof of freshness from a peer.
 async fn sync_config<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
@@ -378,7 +407,12 @@
                 replies.send(&Reply::Origin(origins::answer(shared, &query))).await?;
             }
             Request::ReadTargets(after) => {
-                let reply = match target_relay::changes_since(shared, &after) {
+                let (service, now) = (shared.store_service(), boottime::now());
+                let changes = {
+                    let recent = shared.target_changes.lock();
+                    target_relay::changes_since(&recent, &after, service, now)
+                };
+                let reply = match changes {
                     Some(changes) => Reply::TargetChanges(changes),
                     None => Reply::Refused("changes since this version are not kept".to_owned()),
                 };
