Gateway: one watcher for 40 gateways, polled by its part, and one reading of target changes at a time

Change: watchers grow with the fleet, two at least. A gateway polls two of them, chosen by its name; those that come next in rank poll all, since they have to notice when a watcher fails. While changes are being read from one peer they are not read from another.

Tests: watchers_330_gateways_share_the_polls (failed with two watchers for all), watchers_one_fails_all_gateways_poll_another, watchers_are_polled_by_their_successors.

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -68,11 +68,40 @@
 
 /// Key for the rendezvous hashing of watchers; all gateways have to use the same.
 const WATCHERS_KEY: &str = "configuration";
+/// Minimum number of watchers; with two, one can fail without an interruption.
+const MIN_WATCHERS: usize = 2;
+/// Number of gateways for each watcher. It sends them all changes, so more would exceed the link of a VM in a large fleet.
+const GATEWAYS_PER_WATCHER: usize = 40;
+/// Number of watchers that a gateway polls, so that one can fail without an interruption.
+const WATCHERS_POLLED: usize = 2;
 
-/// Returns the `count` gateways that watch the configuration for all: those with the largest CPU allowance.
-pub fn watchers(candidates: &[Candidate], count: usize) -> Vec<Name> {
+fn watcher_count(gateways: usize) -> usize {
+    gateways.div_ceil(GATEWAYS_PER_WATCHER).max(MIN_WATCHERS)
+}
+
+/// Returns the gateways in the order in which they become watchers: those with the largest CPU allowance first.
+fn ranked_as_watchers(candidates: &[Candidate]) -> Vec<&Name> {
     let mut ranked: Vec<&Candidate> = candidates.iter().collect();
     let score = |candidate: &Candidate| rendezvous::score(WATCHERS_KEY, &candidate.name);
     ranked.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(score(b).cmp(&score(a))));
-    ranked.into_iter().take(count).map(|candidate| candidate.name.clone()).collect()
+    ranked.into_iter().map(|candidate| &candidate.name).collect()
+}
+
+/// Returns the gateways that watch the configuration and the targets for all.
+pub fn watchers(candidates: &[Candidate]) -> Vec<Name> {
+    let ranked = ranked_as_watchers(candidates);
+    ranked.into_iter().take(watcher_count(candidates.len())).cloned().collect()
+}
+
+/// Returns the watchers that a gateway polls. Each watcher serves a part of the gateways, and those that come next in rank,
+/// which have to notice when a watcher fails.
+pub fn watchers_polled_by(name: &str, candidates: &[Candidate]) -> Vec<Name> {
+    let ranked = ranked_as_watchers(candidates);
+    let count = watcher_count(candidates.len()).min(ranked.len());
+    let watchers = &ranked[..count];
+    if ranked.iter().take(2 * count).any(|ranked| *ranked == name) {
+        return watchers.iter().copied().cloned().collect();
+    }
+    let own = rendezvous::rank(name, watchers.iter().copied());
+    own.into_iter().take(WATCHERS_POLLED).cloned().collect()
 }
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -1,5 +1,7 @@
 //! Assignment of pools and of the configuration watch to gateways.
 
+use std::collections::BTreeMap;
+
 use marigold_core::ownership::{self, Candidate};
 
 fn pools(count: usize) -> Vec<String> {
@@ -77,17 +79,68 @@
 fn watchers_are_few_and_the_same_for_all() {
     let members = candidates(&[0.1; 30]);
     let reversed: Vec<Candidate> = members.iter().rev().cloned().collect();
-    assert_eq!(ownership::watchers(&members, 2).len(), 2);
-    assert_eq!(ownership::watchers(&members, 2), ownership::watchers(&reversed, 2));
+    assert_eq!(ownership::watchers(&members).len(), 2);
+    assert_eq!(ownership::watchers(&members), ownership::watchers(&reversed));
 }
 
 /// Guards against saturating the network link of a small VM: every gateway polls the watchers.
 #[test]
 fn watchers_have_the_largest_weights() {
     let members = candidates(&[0.09, 0.5, 0.09, 0.5, 0.09]);
-    let watchers = ownership::watchers(&members, 2);
+    let watchers = ownership::watchers(&members);
     assert!(
         watchers.iter().all(|name| ["gateway1", "gateway3"].contains(&name.as_str())),
         "{watchers:?}"
     );
 }
+
+/// How often each gateway is polled as a watcher, if each polls those that it chooses.
+fn polled_watchers(members: &[Candidate]) -> BTreeMap<String, usize> {
+    let mut polled = BTreeMap::new();
+    for member in members {
+        for watcher in ownership::watchers_polled_by(&member.name, members) {
+            *polled.entry(watcher).or_default() += usize::from(member.name != watcher);
+        }
+    }
+    polled
+}
+
+/// At 299 gateways, two watchers sent each change of the targets to all others: 1,850 KB/s at each of them.
+#[test]
+fn watchers_330_gateways_share_the_polls() {
+    let members = candidates(&[0.1; 330]);
+    let polled = polled_watchers(&members);
+    let watchers = ownership::watchers(&members);
+    assert!(polled.keys().all(|name| watchers.contains(name)), "{polled:?}");
+    assert!(polled.values().all(|count| *count <= 120), "{polled:?}");
+}
+
+/// A gateway that polls no live watcher reads the store itself.
+#[test]
+fn watchers_one_fails_all_gateways_poll_another() {
+    for size in [4, 68, 330] {
+        let members = candidates(&vec![0.1; size]);
+        for failed in ownership::watchers(&members) {
+            for member in &members {
+                let polled = ownership::watchers_polled_by(&member.name, &members);
+                assert!(polled.iter().any(|name| *name != failed), "{} of {size}", member.name);
+            }
+        }
+    }
+}
+
+/// A gateway that takes the place of a failed watcher has to notice the failure, so it polls that one.
+#[test]
+fn watchers_are_polled_by_their_successors() {
+    let members = candidates(&[0.1; 330]);
+    let watchers = ownership::watchers(&members);
+    for failed in &watchers {
+        let others: Vec<Candidate> =
+            members.iter().filter(|member| member.name != *failed).cloned().collect();
+        let successors = ownership::watchers(&others);
+        let new = successors.iter().filter(|name| !watchers.contains(name));
+        for successor in new {
+            assert!(ownership::watchers_polled_by(successor, &members).contains(failed));
+        }
+    }
+}
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -26,8 +26,6 @@
 /// Number of failed polls in a row after which the link to a gateway is closed. One that has gone silent never recovers,
 /// and the kernel keeps it for many minutes; a gateway that is only slow keeps the stages that run on its link.
 const SILENT_LINK_POLLS: u32 = 4;
-/// Number of gateways that watch the configuration for all; with two, one can fail without an interruption.
-const WATCHER_COUNT: usize = 2;
 /// Maximum number of gateways polled at a time that have never answered. Reaches all gateways of the deployments within
 /// one or two seconds.
 const MAX_UNREACHED_POLLED: usize = 8;
@@ -253,7 +251,7 @@
         self.owners.store(Arc::new(remote.collect()));
     }
 
-    /// Returns the gateways to poll: owners of pools and watchers, those that would be owners or watchers if they were
+    /// Returns the gateways to poll: owners of pools and some watchers, those that would be owners or watchers if they were
     /// responsive, some that have never answered, and a random one, so that changes reach all gateways.
     /// `limited_targets` are the ids and pools of targets whose limits have owners.
     pub(crate) fn to_poll(&self, limited_targets: &[(Name, Name)]) -> Vec<Member> {
@@ -263,8 +261,8 @@
         let mut names: BTreeSet<Name> = [&all, &alive]
             .into_iter()
             .flat_map(|candidates| ownership::owners(&state.pools, candidates).into_values())
-            .chain(ownership::watchers(&alive, WATCHER_COUNT))
-            .chain(ownership::watchers(&all, WATCHER_COUNT))
+            .chain(ownership::watchers_polled_by(&self.name, &alive))
+            .chain(ownership::watchers_polled_by(&self.name, &all))
             .collect();
         for (target, pool) in limited_targets.iter().take(MAX_LIMITS_POLLED) {
             if !state.pools.contains(pool) {
@@ -297,7 +295,7 @@
     pub(crate) fn is_watcher(&self) -> bool {
         let state = self.state.lock();
         let alive = self.candidates(&state, Member::is_alive);
-        *self.is_known.borrow() && ownership::watchers(&alive, WATCHER_COUNT).contains(&self.name)
+        *self.is_known.borrow() && ownership::watchers(&alive).contains(&self.name)
     }
 
     /// Returns the `count` other gateways that rank first for a key, only those that are alive if `is_alive` is set.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -290,13 +290,18 @@
         }
         Step::Ask(after) => after,
     };
+    // Peers that are polled together have the same changes.
+    if !shared.start_targets_read() {
+        return Ok(());
+    }
     let sent = boottime::now();
     let req = Request::ReadTargets(target_relay::question(after));
-    let TargetChanges { state, objects, service } =
-        match exchange(member, &req, REPLY_TIMEOUT).await? {
-            Reply::TargetChanges(changes) => changes,
-            reply => return Err(format!("unexpected reply {reply:?}")),
-        };
+    let reply = exchange(member, &req, REPLY_TIMEOUT).await;
+    shared.end_targets_read();
+    let TargetChanges { state, objects, service } = match reply? {
+        Reply::TargetChanges(changes) => changes,
+        reply => return Err(format!("unexpected reply {reply:?}")),
+    };
     // Before the changes are applied: entries that expired in an outage are kept for a while.
     if let Some(service) = service {
         merge_store_service(shared, &service, sent);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -86,6 +86,8 @@
     /// Whether the store was restored from an older copy since the list of targets was read.
     pub(crate) has_unread_restore: AtomicBool,
     is_reading_config: AtomicBool,
+    /// Whether changes of the targets are being read from a peer.
+    is_reading_targets: AtomicBool,
     /// Since when a peer has had a newer configuration.
     pub(crate) newer_config_since: Mutex<Option<Uptime>>,
     budgets: Mutex<HashMap<Name, WindowBudget>>,
@@ -131,6 +133,7 @@
             is_store_reachable: AtomicBool::new(false),
             has_unread_restore: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
+            is_reading_targets: AtomicBool::new(false),
             newer_config_since: Mutex::default(),
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
@@ -353,6 +356,15 @@
         self.is_reading_config.store(false, Ordering::Relaxed);
     }
 
+    /// Marks the start of reading changes of the targets from a peer; returns false if another read is running.
+    pub(crate) fn start_targets_read(&self) -> bool {
+        !self.is_reading_targets.swap(true, Ordering::Relaxed)
+    }
+
+    pub(crate) fn end_targets_read(&self) {
+        self.is_reading_targets.store(false, Ordering::Relaxed);
+    }
+
     fn retry_limit(&self) -> WindowLimit {
         let settings = self.settings();
         WindowLimit {
