Gateway: pass targets on as messages of their own, not as the store's text

Cause: a change of a target went from gateway to gateway as the text that the target had written, some 250 bytes, and each gateway parsed it again.

Change: objects, changes and recent changes are generic over their value; a gateway that reads the store parses an entry once, and what it passes on is a message with the seven fields that are used. An answer with an invalid address is refused as a whole.

--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -1,9 +1,11 @@
 //! List of targets from the platform, with a grace period for those that disappear after a store outage.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{AddrParseError, SocketAddr};
 use std::time::Duration;
 
+use marigold_schema::messages;
+
 use crate::ids::{Name, SoftwareVersion, Uptime};
 
 /// A target that runs requests.
@@ -27,6 +29,37 @@
     pub started_at_ms: u64,
 }
 
+impl From<Target> for messages::ListedTarget {
+    fn from(target: Target) -> Self {
+        Self {
+            pool: target.pool,
+            address: target.addr.to_string(),
+            data_centre: target.data_centre,
+            software: target.version,
+            slots: target.slots,
+            leaving: target.is_leaving,
+            started_at_ms: target.started_at_ms,
+        }
+    }
+}
+
+impl TryFrom<(Name, messages::ListedTarget)> for Target {
+    type Error = AddrParseError;
+
+    fn try_from((id, wire): (Name, messages::ListedTarget)) -> Result<Self, AddrParseError> {
+        Ok(Self {
+            id,
+            pool: wire.pool,
+            addr: wire.address.parse()?,
+            data_centre: wire.data_centre,
+            version: wire.software,
+            slots: wire.slots,
+            is_leaving: wire.leaving,
+            started_at_ms: wire.started_at_ms,
+        })
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ListedTarget {
     target: Target,
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use marigold_core::targets::{Target, TargetList};
+use marigold_schema::messages::ListedTarget;
 
 const GRACE_PERIOD: Duration = Duration::from_millis(2_200);
 
@@ -142,3 +143,12 @@
     list.replace(vec![target("a")], Duration::from_secs(11), GRACE_PERIOD);
     assert_eq!(usable(&list), ["a"]);
 }
+
+#[test]
+fn target_is_the_same_after_a_message() {
+    let target = Target { is_leaving: true, ..target("a") };
+    let wire = ListedTarget::from(target.clone());
+    assert_eq!(Target::try_from(("a".to_owned(), wire.clone())), Ok(target));
+    let invalid = ListedTarget { address: "north".to_owned(), ..wire };
+    assert!(Target::try_from(("a".to_owned(), invalid)).is_err());
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use marigold_core::ids::Uptime;
+use marigold_core::targets::Target;
 use marigold_objects::{Changes, Error, Expect, Object, Store, Version};
 use marigold_process::boottime;
 use marigold_schema::messages::GatewayEntry;
@@ -236,7 +237,7 @@
     }
 
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime) {
-        apply_target_changes(shared, &changes, after, sent);
+        apply_target_changes(shared, &changes.parse(read_target::<D>), after, sent);
     }
 }
 
@@ -244,7 +245,7 @@
 /// Without a version they are a full list.
 pub(crate) fn apply_target_changes<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
-    changes: &Changes,
+    changes: &Changes<Target>,
     after: Version,
     at: Uptime,
 ) {
@@ -270,7 +271,8 @@
             list.on_store_recovered(at);
         }
         if is_whole {
-            let targets = changes.objects.iter().filter_map(read_target::<D>).collect();
+            let targets =
+                changes.objects.iter().filter_map(|object| object.value.clone()).collect();
             if shared.has_unread_restore.swap(false, Ordering::Relaxed) {
                 list.replace_restored(targets, now, grace_period, shared.restore_hold());
             } else {
@@ -278,7 +280,7 @@
             }
         } else {
             for object in &changes.objects {
-                match read_target::<D>(object) {
+                match object.value.clone() {
                     Some(target) => list.put(target),
                     None => list.remove(&object.name, now, grace_period),
                 }
@@ -345,7 +347,7 @@
 }
 
 /// Returns the target that an object describes, or `None` if the object was removed or is invalid.
-fn read_target<D: Dialect>(object: &Object) -> Option<marigold_core::targets::Target> {
+fn read_target<D: Dialect>(object: &Object) -> Option<Target> {
     let text = object.value.as_ref()?;
     match D::parse_target(&object.name, text) {
         Ok(target) => Some(target),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use marigold_core::retry::{WindowBudget, WindowLimit};
 use marigold_core::routes::Routing;
 use marigold_core::store_service::{self, StoreService};
+use marigold_core::targets::Target;
 use marigold_objects::RecentChanges;
 use marigold_process::boottime;
 use marigold_schema::messages::{self, GatewayEntry, GatewayFacts};
@@ -59,7 +60,7 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) targets: TargetTable,
     /// Changes of the list of targets, for other gateways.
-    pub(crate) target_changes: Mutex<RecentChanges>,
+    pub(crate) target_changes: Mutex<RecentChanges<Target>>,
     pub(crate) limits: Limits,
     pub(crate) crashes: Crashes,
     pub(crate) poison: Poison,
--- a/crates/gateway/src/target_relay.rs
+++ b/crates/gateway/src/target_relay.rs
@@ -1,9 +1,11 @@
 //! Passes changes of the list of targets from the gateways that watch the store on to the others, with the age of the proof
 //! that there are no newer ones.
 
+use std::net::AddrParseError;
 use std::time::Duration;
 
 use marigold_core::ids::Uptime;
+use marigold_core::targets::Target;
 use marigold_objects::{Changes, Object, RecentChanges, Version};
 use marigold_schema::messages::{
     StoreService, StoreVersion, TargetChanges, TargetObject, TargetsState,
@@ -18,7 +20,7 @@
 }
 
 /// Returns the version and the age of the list that a gateway has; none before it has read the list.
-pub(crate) fn state(recent: &RecentChanges, now: Uptime) -> Option<TargetsState> {
+pub(crate) fn state(recent: &RecentChanges<Target>, now: Uptime) -> Option<TargetsState> {
     let age_ms = recent.age(now)?.as_millis() as u64;
     Some(TargetsState { version: to_message(recent.version()), age_ms })
 }
@@ -26,7 +28,7 @@
 /// Answers another gateway that has a version of the list; none if some of the changes since then are not kept. `service` is the
 /// period in which the store has answered.
 pub(crate) fn changes_since(
-    recent: &RecentChanges,
+    recent: &RecentChanges<Target>,
     version: &StoreVersion,
     service: Option<StoreService>,
     now: Uptime,
@@ -35,7 +37,7 @@
     let objects = changes.objects.into_iter().map(|object| TargetObject {
         name: object.name,
         version: to_message(object.version),
-        value: object.value,
+        target: object.value.map(Target::into),
     });
     Some(TargetChanges { state: state(recent, now)?, objects: objects.collect(), service })
 }
@@ -52,7 +54,11 @@
 }
 
 /// Compares the list with that of a gateway which has answered a poll sent at `sent`, and adopts a newer proof.
-pub(crate) fn compare(recent: &mut RecentChanges, state: &TargetsState, sent: Uptime) -> Step {
+pub(crate) fn compare(
+    recent: &mut RecentChanges<Target>,
+    state: &TargetsState,
+    sent: Uptime,
+) -> Step {
     let (own, version) = (recent.version(), from_message(&state.version));
     if own.is_none() || version.era != own.era || version < own {
         return Step::Ignore;
@@ -71,18 +77,22 @@
 }
 
 /// Converts an answer to a question sent at `sent` into the changes and the time at which they were the newest.
+///
+/// # Errors
+/// When the address of a target is invalid.
 pub(crate) fn parse(
     state: &TargetsState,
     objects: Vec<TargetObject>,
     sent: Uptime,
-) -> (Changes, Uptime) {
-    let objects = objects.into_iter().map(|object| Object {
-        name: object.name,
-        version: from_message(&object.version),
-        value: object.value,
-    });
-    let changes = Changes { version: from_message(&state.version), objects: objects.collect() };
-    (changes, verified_at(state, sent))
+) -> Result<(Changes<Target>, Uptime), AddrParseError> {
+    let convert = |object: TargetObject| {
+        let target = object.target.map(|wire| Target::try_from((object.name.clone(), wire)));
+        let version = from_message(&object.version);
+        Ok(Object { name: object.name, version, value: target.transpose()? })
+    };
+    let objects = objects.into_iter().map(convert).collect::<Result<_, _>>()?;
+    let changes = Changes { version: from_message(&state.version), objects };
+    Ok((changes, verified_at(state, sent)))
 }
 
 /// The peer determined the age after the request was sent, so the proof is not older than computed here.
--- a/crates/objects/src/object.rs
+++ b/crates/objects/src/object.rs
@@ -36,22 +36,34 @@
 
 /// Named value with the version of its last write.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Object {
+pub struct Object<T = String> {
     /// Name, unique among the objects of the same kind.
     pub name: String,
     /// Version of the last write.
     pub version: Version,
-    /// Value as text; `None` after a deletion.
-    pub value: Option<String>,
+    /// Value, as text in the store; `None` after a deletion.
+    pub value: Option<T>,
 }
 
 /// Changed objects of a kind, and the version of the store that they reflect.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Changes {
+pub struct Changes<T = String> {
     /// Version up to which the changes are complete.
     pub version: Version,
     /// Changed objects.
-    pub objects: Vec<Object>,
+    pub objects: Vec<Object<T>>,
+}
+
+impl<T> Changes<T> {
+    /// Converts the values with `parse`. An object for which it returns `None` is treated as deleted.
+    pub fn parse<U>(self, parse: impl Fn(&Object<T>) -> Option<U>) -> Changes<U> {
+        let convert = |object: Object<T>| {
+            let value = parse(&object);
+            Object { name: object.name, version: object.version, value }
+        };
+        let objects = self.objects.into_iter().map(convert).collect();
+        Changes { version: self.version, objects }
+    }
 }
 
 /// Condition of a write.
--- a/crates/objects/src/recent.rs
+++ b/crates/objects/src/recent.rs
@@ -10,24 +10,36 @@
 
 /// A group of changes that was read together.
 #[derive(Debug)]
-struct Batch {
+struct Batch<T> {
     version: Version,
-    objects: Vec<Object>,
+    objects: Vec<Object<T>>,
 }
 
 /// Version of the objects that a process has, the time at which it was known to be the newest, and the changes that led to
 /// it. Times are since any fixed moment.
-#[derive(Debug, Default)]
-pub struct RecentChanges {
+#[derive(Debug)]
+pub struct RecentChanges<T> {
     version: Version,
     verified_at: Duration,
     /// Version after which all changes are kept.
     complete_after: Version,
-    batches: VecDeque<Batch>,
+    batches: VecDeque<Batch<T>>,
     object_count: usize,
 }
 
-impl RecentChanges {
+impl<T> Default for RecentChanges<T> {
+    fn default() -> Self {
+        Self {
+            version: Version::default(),
+            verified_at: Duration::ZERO,
+            complete_after: Version::default(),
+            batches: VecDeque::new(),
+            object_count: 0,
+        }
+    }
+}
+
+impl<T: Clone> RecentChanges<T> {
     /// Returns the version of the objects; none before they were read.
     pub fn version(&self) -> Version {
         self.version
@@ -52,7 +64,7 @@
 
     /// Adds the changes after the version `after`, which were current at `at`. Returns false, and adds nothing, if the
     /// objects have another version by now: the changes were read from another process meanwhile.
-    pub fn extend(&mut self, after: Version, changes: &Changes, at: Duration) -> bool {
+    pub fn extend(&mut self, after: Version, changes: &Changes<T>, at: Duration) -> bool {
         if self.version.is_none() || after != self.version || changes.version < after {
             return false;
         }
@@ -81,7 +93,7 @@
     }
 
     /// Returns the changes after a version, or `None` if some of them are not kept or the version is not known here.
-    pub fn since(&self, after: Version) -> Option<Changes> {
+    pub fn since(&self, after: Version) -> Option<Changes<T>> {
         let is_known = after.era == self.version.era
             && !after.is_none()
             && (self.complete_after..=self.version).contains(&after);
--- a/crates/objects/tests/recent.rs
+++ b/crates/objects/tests/recent.rs
@@ -21,7 +21,7 @@
     Changes { version: version(revision), objects: names.iter().map(object).collect() }
 }
 
-fn recent() -> RecentChanges {
+fn recent() -> RecentChanges<String> {
     let mut recent = RecentChanges::default();
     assert!(recent.replace(version(10), secs(1)));
     assert!(recent.extend(version(10), &changes(12, &["a", "b"]), secs(2)));
@@ -51,7 +51,7 @@
     assert!(recent.since(Version::default()).is_none());
     assert!(recent.since(Version { era: 0, revision: 12 }).is_none());
     assert!(recent.since(Version { era: 2, revision: 12 }).is_none());
-    assert!(RecentChanges::default().since(Version::default()).is_none());
+    assert!(RecentChanges::<String>::default().since(Version::default()).is_none());
 }
 
 /// Two peers and the store may send the same changes, and the later answer must not undo the earlier one.
@@ -86,8 +86,8 @@
     assert!(recent.verify(version(15), secs(6)));
     assert!(!recent.verify(version(16), secs(9)));
     assert_eq!(recent.age(secs(10)), Some(secs(2)));
-    assert_eq!(RecentChanges::default().age(secs(10)), None);
-    assert!(!RecentChanges::default().verify(Version::default(), secs(1)));
+    assert_eq!(RecentChanges::<String>::default().age(secs(10)), None);
+    assert!(!RecentChanges::<String>::default().verify(Version::default(), secs(1)));
 }
 
 /// Memory is bounded, and what was dropped is not passed over in silence.
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -1077,6 +1077,67 @@
     ///Time since the request was sent, in milliseconds, rounded up.
     pub sent_age_ms: u64,
 }
+///What the list tells of a target.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What the list tells of a target.",
+///  "type": "object",
+///  "required": [
+///    "address",
+///    "data_centre",
+///    "leaving",
+///    "pool",
+///    "slots",
+///    "software",
+///    "started_at_ms"
+///  ],
+///  "properties": {
+///    "address": {
+///      "description": "IP address and port.",
+///      "type": "string"
+///    },
+///    "data_centre": {
+///      "type": "string"
+///    },
+///    "leaving": {
+///      "type": "boolean"
+///    },
+///    "pool": {
+///      "type": "string"
+///    },
+///    "slots": {
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "software": {
+///      "description": "Version of its software.",
+///      "type": "string"
+///    },
+///    "started_at_ms": {
+///      "description": "Start in milliseconds since the Unix epoch.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ListedTarget {
+    ///IP address and port.
+    pub address: ::std::string::String,
+    pub data_centre: ::std::string::String,
+    pub leaving: bool,
+    pub pool: ::std::string::String,
+    pub slots: u32,
+    ///Version of its software.
+    pub software: ::std::string::String,
+    ///Start in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+}
 ///A request that was lost to the crash of a target.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3117,13 +3178,13 @@
     pub started_at_ms: u64,
     pub target: ::std::string::String,
 }
-///Object of the store that describes a target.
+///Target in the store's list.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Object of the store that describes a target.",
+///  "description": "Target in the store's list.",
 ///  "type": "object",
 ///  "required": [
 ///    "name",
@@ -3133,9 +3194,9 @@
 ///    "name": {
 ///      "type": "string"
 ///    },
-///    "value": {
-///      "description": "Absent after a deletion.",
-///      "type": "string"
+///    "target": {
+///      "description": "Absent after a deletion, or if the entry cannot be read.",
+///      "$ref": "#/definitions/ListedTarget"
 ///    },
 ///    "version": {
 ///      "$ref": "#/definitions/StoreVersion"
@@ -3147,9 +3208,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TargetObject {
     pub name: ::std::string::String,
-    ///Absent after a deletion.
+    ///Absent after a deletion, or if the entry cannot be read.
     #[serde(default)]
-    pub value: ::std::option::Option<::std::string::String>,
+    pub target: ::std::option::Option<ListedTarget>,
     pub version: StoreVersion,
 }
 ///Version of the list of targets that a gateway has, and its age.
