Gateway: poll the owners of pools by 40 gateways a round, not by all

Cause: all gateways polled each owner 2.5 times a second, 745 polls at 299 gateways, some 200 KB/s at the owner.

Change: in a round a gateway polls a responsive owner with a probability of 40 by the number of gateways. One that has missed a poll, or has never answered, is polled each time; calls of stages notice a failed owner by themselves.

Test: owners_are_polled_by_a_bounded_number_of_gateways.

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -66,6 +66,14 @@
     owners(&[target.to_owned()], candidates).into_values().next()
 }
 
+/// Number of gateways that poll the owner of a pool in each round of polls. Calls to an owner that has failed show it as well.
+const OWNER_POLLS: usize = 40;
+
+/// Returns the probability with which a gateway polls a responsive owner of a pool in a round of polls.
+pub fn owner_poll_probability(gateways: usize) -> f64 {
+    (OWNER_POLLS as f64 / gateways.max(1) as f64).min(1.0)
+}
+
 /// Key for the rendezvous hashing of watchers; all gateways have to use the same.
 const WATCHERS_KEY: &str = "configuration";
 /// Minimum number of watchers; with two, one can fail without an interruption.
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -75,6 +75,16 @@
     assert!(ownership::owners(&pools(3), &[]).is_empty());
 }
 
+/// All gateways polled each owner in each round: 745 polls a second at 299 gateways.
+#[test]
+fn owners_are_polled_by_a_bounded_number_of_gateways() {
+    assert_eq!(ownership::owner_poll_probability(4), 1.0);
+    for gateways in [68, 330, 1_000] {
+        let polls = gateways as f64 * ownership::owner_poll_probability(gateways);
+        assert!((30.0..=40.5).contains(&polls), "{polls} of {gateways}");
+    }
+}
+
 #[test]
 fn watchers_are_few_and_the_same_for_all() {
     let members = candidates(&[0.1; 30]);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -17,6 +17,7 @@
 use marigold_schema::messages::{GatewayEntry, GatewayFacts};
 use marigold_schema::settings::GatewaySettings;
 use parking_lot::Mutex;
+use rand::RngExt as _;
 use rand::seq::IteratorRandom as _;
 use tokio::sync::watch;
 use tokio::time;
@@ -55,6 +56,11 @@
         self.missed_polls < MISSED_POLL_LIMIT && !self.is_leaving
     }
 
+    /// Returns whether it has not answered the last poll, or none yet.
+    fn is_doubtful(&self) -> bool {
+        self.missed_polls > 0 || !self.has_answered
+    }
+
     fn candidate(&self) -> Candidate {
         let (name, weight) = (self.name.clone(), self.weight);
         Candidate { name, weight, is_settled: self.is_settled }
@@ -251,16 +257,23 @@
         self.owners.store(Arc::new(remote.collect()));
     }
 
-    /// Returns the gateways to poll: owners of pools and some watchers, those that would be owners or watchers if they were
+    /// Returns the gateways to poll: some owners of pools and some watchers, those that would be owners or watchers if they were
     /// responsive, some that have never answered, and a random one, so that changes reach all gateways.
     /// `limited_targets` are the ids and pools of targets whose limits have owners.
     pub(crate) fn to_poll(&self, limited_targets: &[(Name, Name)]) -> Vec<Member> {
         let state = self.state.lock();
         let all = self.candidates(&state, |_| true);
         let alive = self.candidates(&state, Member::is_alive);
-        let mut names: BTreeSet<Name> = [&all, &alive]
+        let owners = [&all, &alive]
             .into_iter()
-            .flat_map(|candidates| ownership::owners(&state.pools, candidates).into_values())
+            .flat_map(|candidates| ownership::owners(&state.pools, candidates).into_values());
+        let probability = ownership::owner_poll_probability(alive.len());
+        let mut rng = rand::rng();
+        let mut names: BTreeSet<Name> = owners
+            .filter(|owner| {
+                let member = state.others.get(owner);
+                member.is_some_and(Member::is_doubtful) || rng.random_bool(probability)
+            })
             .chain(ownership::watchers_polled_by(&self.name, &alive))
             .chain(ownership::watchers_polled_by(&self.name, &all))
             .collect();
