Stages: what was freed during a call is free after one of its results did not fit

The owner then took all memory that it did not know of at the end of the call for used by others, fading over 1.5 s; but most of it had been freed during the call: 20 to 60% of the target's memory was left unused.

Change: the unknown part is computed from what was known when the call began. The accounting of a target's memory moves out of the batcher into core::result_memory.

Test, without network: on_full_what_was_freed_during_the_call_is_free (100 of 100 used before, 40 after).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod poison;
 pub mod rendezvous;
+pub mod result_memory;
 pub mod retry;
 pub mod router;
 pub mod routes;
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
 use marigold_core::ids::{Name, Uptime};
+use marigold_core::result_memory::{CallMemory, ResultMemory};
 use marigold_core::routes::StagePool;
 use marigold_core::stage_queue::{Offer, QueuedPiece, StageQueue};
 use marigold_objects::Store;
@@ -32,9 +33,6 @@
 const MAX_TRIES: u8 = 4;
 /// Backoff after a target refused a call because it was busy with calls of others.
 const BUSY_BACKOFF: Duration = Duration::from_millis(40);
-/// Time over which the estimate of memory used by results unknown to this gateway decays to zero. Results are needed for
-/// a similar time.
-const UNTRACKED_DECAY_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which handles are collected before the call that frees the results. A small part of the time for which
 /// results are needed, since the memory for results limits the throughput of a target.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(20);
@@ -134,28 +132,10 @@
     slowdown: f64,
     last_call_ended: Uptime,
     backoff_until: Uptime,
-    /// Results that the target holds, by handle, with their sizes in bytes and the latest times at which they expire.
-    results: HashMap<String, (u64, Uptime)>,
-    /// Size of the results of running calls, in bytes.
-    in_flight_bytes: u64,
-    /// Estimate of the memory used by results unknown to this gateway, in bytes, and the time at which it has decayed to
-    /// zero. Set when the target has no free memory for the result of a piece.
-    untracked: (u64, Uptime),
+    memory: ResultMemory,
     pending_releases: Vec<String>,
 }
 
-impl TargetState {
-    /// Returns the memory used by results at the target, in bytes.
-    fn used_bytes(&mut self, now: Uptime) -> u64 {
-        self.results.retain(|_, (_, expires)| *expires > now);
-        let (untracked, until) = self.untracked;
-        let share = until.saturating_sub(now).as_secs_f64() / UNTRACKED_DECAY_TIME.as_secs_f64();
-        let tracked_bytes =
-            self.results.values().map(|(bytes, _)| bytes).sum::<u64>() + self.in_flight_bytes;
-        tracked_bytes + (untracked as f64 * share) as u64
-    }
-}
-
 #[derive(Default)]
 struct PoolState {
     queue: StageQueue<Ticket>,
@@ -280,7 +260,7 @@
             pool_data_centres: &data_centres,
             max_pieces: spec.max_pieces,
             call_duration,
-            free_bytes: spec.result_memory_bytes.saturating_sub(target.used_bytes(now)),
+            free_bytes: spec.result_memory_bytes.saturating_sub(target.memory.used(now)),
         };
         let pieces = state.queue.dequeue_batch(now, &offer);
         if pieces.is_empty() {
@@ -288,9 +268,10 @@
             continue;
         }
         target.running_calls += 1;
-        target.in_flight_bytes += pieces.iter().map(|piece| piece.result_bytes).sum::<u64>();
+        let result_bytes = pieces.iter().map(|piece| piece.result_bytes).sum();
+        let memory = target.memory.start_call(result_bytes, now);
         let tickets = pieces.into_iter().map(|piece| piece.ticket).collect();
-        tokio::spawn(run_call(shared.clone(), tracked, spec.clone(), tickets));
+        tokio::spawn(run_call(shared.clone(), tracked, spec.clone(), tickets, memory));
     }
     if !state.queue.is_empty() && !state.is_redispatch_scheduled {
         // Pieces that wait for a target in their preferred data centre may run elsewhere after a while. No other event
@@ -342,6 +323,7 @@
     tracked: Arc<TrackedTarget>,
     spec: StagePool,
     tickets: Vec<Ticket>,
+    memory: CallMemory,
 ) {
     let pool = tracked.target.pool.clone();
     let started = boottime::now();
@@ -394,9 +376,7 @@
         let target = state.targets.entry(tracked.target.id.clone()).or_default();
         target.running_calls -= 1;
         target.last_call_ended = now;
-        target.in_flight_bytes = target
-            .in_flight_bytes
-            .saturating_sub(tickets.iter().map(|ticket| ticket.job.req.result_bytes).sum());
+        target.memory.end_call(memory);
         match outcome {
             "done" => {
                 let ratio = duration.as_secs_f64() / expected.as_secs_f64().max(0.001);
@@ -411,12 +391,14 @@
         }
         let results = results.unwrap_or_else(|| vec![Err(PieceError::Failed); tickets.len()]);
         let is_busy = outcome == "busy";
-        let mut has_memory = true;
+        let (mut has_memory, mut made_bytes) = (true, 0);
         for (mut ticket, result) in tickets.into_iter().zip(results) {
             match result {
                 Ok(handle) => {
                     let expires = now + spec.result_retention;
-                    target.results.insert(handle.clone(), (ticket.job.req.result_bytes, expires));
+                    let bytes = ticket.job.req.result_bytes;
+                    made_bytes += bytes;
+                    target.memory.add(handle.clone(), bytes, expires);
                     if ticket.job.is_aborted() {
                         unused.push(handle);
                     } else {
@@ -437,11 +419,7 @@
             }
         }
         if !has_memory {
-            target.untracked = (0, now);
-            target.untracked = (
-                spec.result_memory_bytes.saturating_sub(target.used_bytes(now)),
-                now + UNTRACKED_DECAY_TIME,
-            );
+            target.memory.on_full(memory, spec.result_memory_bytes, made_bytes, now);
         }
     }
     release(&shared, &pool, unused);
@@ -562,7 +540,7 @@
             let mut pools = shared.batcher.pools.lock();
             let state = pools.entry(tracked.target.pool.clone()).or_default();
             let target = state.targets.entry(tracked.target.id.clone()).or_default();
-            target.results.retain(|handle, _| !handles.contains(handle));
+            target.memory.free(&handles);
         }
         // The results expire without the call.
         Err(err) => tracing::debug!(target = tracked.target.id, %err, "results not freed"),
