Gateway: return the answer of a target that failed when no other target answers

Cause: after a target's own 500 a request that may be repeated goes to another target. If there is none, or that one does not run it, the answer that was there was dropped for a 502 of the gateway.

Change: the answer is kept until another one comes.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -317,9 +317,17 @@
     attempts.find_origin().await?;
     attempts.check_limits()?;
     attempts.admit()?;
+    // The answer of a target that failed, for the caller if no other target answers.
+    let mut failed_answer = None;
     loop {
-        let results = attempts.run_stages(attempts.arrived).await?;
-        let reply = attempts.send(results, attempts.head.last_event).await?;
+        let sent = async {
+            let results = attempts.run_stages(attempts.arrived).await?;
+            attempts.send(results, attempts.head.last_event).await
+        };
+        let reply = match sent.await {
+            Ok(reply) => reply,
+            Err(failure) => return failed_answer.ok_or(failure),
+        };
         if !reply.is_reply_to(attempts.request()) {
             tracing::warn!(
                 request = attempts.request(),
@@ -332,10 +340,8 @@
             if attempts.start_retry("foreign_reply").await {
                 continue;
             }
-            return Err(Failure::new(
-                StatusCode::BAD_GATEWAY,
-                "the target's reply answers another request",
-            ));
+            let reason = "the target's reply answers another request";
+            return failed_answer.ok_or_else(|| Failure::new(StatusCode::BAD_GATEWAY, reason));
         }
         let is_stream = attempts.route.streams && reply.response.status() == StatusCode::OK;
         let response = if is_stream {
@@ -355,14 +361,14 @@
                 if !(is_failed && attempts.start_retry("target_failed").await) {
                     return Ok(response);
                 }
+                failed_answer = Some(response);
             }
             Err(reason) => {
                 tracing::warn!(request = attempts.request(), reason, "response ended early");
                 if !attempts.start_retry("broken_answer").await {
-                    return Err(Failure::new(
-                        StatusCode::BAD_GATEWAY,
-                        "the target's answer broke off",
-                    ));
+                    let reason = "the target's answer broke off";
+                    return failed_answer
+                        .ok_or_else(|| Failure::new(StatusCode::BAD_GATEWAY, reason));
                 }
             }
         }
