Gateway: heed targets that leave or want a pause by their replies

Cause: neither header was read.

Change: a start of a target that has said that it leaves gets nothing new, whatever its entry says then; a refusal with a time holds the target for it, then one request tries first. Pools of which no target takes requests refuse at once, before their stages run. The load and the hold of a target outlast changes of its entry. docs/PLATFORM.md says what each value means.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod stage_queue;
 pub mod store_service;
 pub mod stream_origin;
+pub mod target_hold;
 pub mod target_limit;
 pub mod targets;
 pub mod view;
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -79,6 +79,8 @@
     departed: BTreeMap<Start, Uptime>,
     /// When the targets that are held are released.
     held_until: Uptime,
+    /// Starts of targets that have said that they leave, with the times.
+    announced: BTreeMap<Start, Uptime>,
 }
 
 /// Id and start of a target.
@@ -110,6 +112,15 @@
         self.listed.insert(listed.target.id.clone(), listed);
     }
 
+    /// Records that a start of a target has said in a reply that it leaves; returns whether that is new. It holds whatever the
+    /// platform's list says of this start, now or later.
+    pub fn announce_leaving(&mut self, target: &Target, now: Uptime) -> bool {
+        let listed: BTreeSet<Start> =
+            self.listed.values().map(|listed| start_of(&listed.target)).collect();
+        self.announced.retain(|start, at| listed.contains(start) || now < *at + DEPARTED_RETENTION);
+        self.announced.insert(start_of(target), now).is_none()
+    }
+
     /// Removes a target that is missing from the platform's list.
     ///
     /// Records in the store expire during an outage and reappear with the next heartbeats of the targets. A target that
@@ -207,6 +218,10 @@
 
     /// Returns the targets that accept requests.
     pub fn usable(&self) -> impl Iterator<Item = &Target> {
-        self.listed.values().map(|listed| &listed.target).filter(|target| !target.is_leaving)
+        let has_announced = |target: &Target| {
+            !self.announced.is_empty() && self.announced.contains_key(&start_of(target))
+        };
+        let listed = self.listed.values().map(|listed| &listed.target);
+        listed.filter(move |target| !target.is_leaving && !has_announced(target))
     }
 }
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -152,3 +152,37 @@
     let invalid = ListedTarget { address: "north".to_owned(), ..wire };
     assert!(Target::try_from(("a".to_owned(), invalid)).is_err());
 }
+
+/// The entry in the store may be older than the reply, or come back with a store that was restored or was silent.
+#[test]
+fn announce_leaving_holds_whatever_the_list_says() {
+    let now = Duration::from_secs(30);
+    let mut list = TargetList::default();
+    list.put(target("a"));
+    list.put(target("b"));
+    assert!(list.announce_leaving(&target("a"), now));
+    assert!(!list.announce_leaving(&target("a"), now));
+    assert_eq!(usable(&list), ["b"]);
+    list.put(target("a"));
+    assert_eq!(usable(&list), ["b"]);
+    list.remove("a", now, GRACE_PERIOD);
+    list.replace(vec![target("a"), target("b")], now, GRACE_PERIOD);
+    assert_eq!(usable(&list), ["b"]);
+    list.replace_restored(vec![target("a")], now, GRACE_PERIOD, GRACE_PERIOD);
+    assert!(usable(&list).is_empty());
+    list.release_held(now + GRACE_PERIOD * 2);
+    assert!(usable(&list).is_empty());
+}
+
+#[test]
+fn announce_leaving_ends_with_another_start() {
+    let mut list = TargetList::default();
+    list.put(target("a"));
+    list.announce_leaving(&target("a"), Duration::from_secs(30));
+    let restarted = Target { started_at_ms: 2, ..target("a") };
+    list.put(restarted.clone());
+    assert_eq!(usable(&list), ["a"]);
+    // A late reply of the start before says nothing of this one.
+    assert!(!list.announce_leaving(&target("a"), Duration::from_secs(31)));
+    assert_eq!(usable(&list), ["a"]);
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a target, and to further targets when a retry is allowed.
 
 mod continuation;
+mod held;
 mod limited;
 mod quarantined;
 
@@ -22,6 +23,7 @@
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
+use crate::announcements;
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits;
 use crate::response::Failure;
@@ -241,7 +243,8 @@
             let id = &tracked.target.id;
             let is_version =
                 self.begun.as_ref().is_none_or(|begun| begun.version == tracked.target.version);
-            is_version && !self.tried.contains(id) && !held.contains(id)
+            let is_held = held.contains(id) || tracked.hold.until(now).is_some();
+            is_version && !self.tried.contains(id) && !is_held
         };
         let mut untried: Vec<Arc<TrackedTarget>> =
             targets.into_iter().filter(is_candidate).collect();
@@ -290,13 +293,14 @@
             let picked = self.pick_target(now, &held).filter(|_| not_run < MAX_NOT_RUN_ATTEMPTS);
             let Some(tracked) = picked else {
                 let is_limited = not_run < MAX_NOT_RUN_ATTEMPTS && self.is_pool_in(&held);
-                return Err(if is_limited {
-                    self.limit_failure()
-                } else {
-                    self.no_target_failure()
+                return Err(match self.all_held_until(now) {
+                    _ if is_limited => self.limit_failure(),
+                    Some(until) => self.hold_failure(until.saturating_sub(now)),
+                    None => self.no_target_failure(),
                 });
             };
-            if !limits::acquire(&self.shared, &tracked, self.demand()).await {
+            let is_granted = limits::acquire(&self.shared, &tracked, self.demand()).await;
+            if !is_granted || !tracked.hold.acquire(boottime::now()) {
                 denied.insert(tracked.target.id.clone());
                 continue;
             }
@@ -354,6 +358,9 @@
                 limit => limit,
             };
             limits::observe(&self.shared, &tracked, limit, now);
+            if is_own_reply {
+                announcements::observe(&self.shared.targets, &tracked, &head, now);
+            }
             if !head.not_run {
                 return Ok(Reply { sent, head, response });
             }
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -19,7 +19,8 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult};
+use crate::announcements;
+use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult, ReplyHead};
 use crate::limits::{self, Demand};
 use crate::shared::Shared;
 use crate::targets::TrackedTarget;
@@ -235,7 +236,10 @@
     let state = pools.entry(pool.to_owned()).or_default();
     state.queue.remove_if(|ticket| ticket.job.is_aborted());
     let call_duration = spec.duration(spec.max_pieces);
-    let healthy = targets.iter().filter(|tracked| !tracked.load.snapshot(now).ejected);
+    let is_used = |tracked: &&Arc<TrackedTarget>| {
+        !tracked.load.snapshot(now).ejected && tracked.hold.until(now).is_none()
+    };
+    let healthy = targets.iter().filter(is_used);
     let unlimited_calls_per_s = f64::from(spec.slots) / call_duration.as_secs_f64();
     let calls_per_s: f64 = healthy
         .map(|tracked| {
@@ -251,7 +255,11 @@
         if state.queue.is_empty() {
             return;
         }
+        if !tracked.hold.acquire(now) {
+            continue;
+        }
         if !limits::acquire_as_owner(shared, &tracked, CALL_DEMAND, 1) {
+            tracked.hold.cancel();
             continue;
         }
         let target = state.targets.entry(tracked.target.id.clone()).or_default();
@@ -265,6 +273,7 @@
         let pieces = state.queue.dequeue_batch(now, &offer);
         if pieces.is_empty() {
             limits::refund(shared, &tracked);
+            tracked.hold.cancel();
             continue;
         }
         target.running_calls += 1;
@@ -311,7 +320,7 @@
             target.is_some_and(|target| target.last_call_ended + SLOW_RETRY_INTERVAL <= now);
         let is_eligible =
             slowdown(tracked) < SLOW_THRESHOLD || !has_fast || has_backlog || is_retry_due;
-        is_idle && is_healthy(tracked) && is_eligible
+        is_idle && is_healthy(tracked) && is_eligible && tracked.hold.until(now).is_none()
     };
     let mut free: Vec<Arc<TrackedTarget>> = targets.iter().filter(is_free).cloned().collect();
     free.sort_by(|a, b| slowdown(a).total_cmp(&slowdown(b)));
@@ -331,8 +340,16 @@
     let pieces: Vec<Piece> = tickets.iter().map(|ticket| to_piece(ticket, started)).collect();
     shared.metrics.stage_pieces.add(pieces.len() as u64, &[KeyValue::new("pool", pool.clone())]);
     let timeout = expected.mul_f64(CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_MARGIN;
-    let (reply, limit) = send_pieces::<D>(&tracked, &pieces, timeout).await;
-    limits::observe(&shared, &tracked, limit, started);
+    let (reply, head) = send_pieces::<D>(&tracked, &pieces, timeout).await;
+    let limit = head.as_ref().map_or(LimitStatement::Unknown, |head| head.limit);
+    let is_answer = !matches!(reply, CallOutcome::Failed(_));
+    // A reply that is not the target's answer to the call does not end its limit.
+    if is_answer || limit != LimitStatement::Unlimited {
+        limits::observe(&shared, &tracked, limit, started);
+    }
+    if let Some(head) = head.filter(|_| is_answer) {
+        announcements::observe(&shared.targets, &tracked, &head, started);
+    }
     let now = boottime::now();
     let duration = now.saturating_sub(started);
     let (results, outcome) = match reply {
@@ -459,11 +476,11 @@
     tracked: &TrackedTarget,
     pieces: &[Piece],
     timeout: Duration,
-) -> (CallOutcome, LimitStatement) {
+) -> (CallOutcome, Option<ReplyHead>) {
     let req = post_request::<D>(tracked, D::STAGE_PATH, D::stage_call(pieces));
     let reply = match upstream::call(tracked.target.addr, req, timeout, MAX_REPLY_BYTES).await {
         Ok(reply) => reply,
-        Err(err) => return (CallOutcome::Failed(err.to_string()), LimitStatement::Unknown),
+        Err(err) => return (CallOutcome::Failed(err.to_string()), None),
     };
     let outcome = match reply.status() {
         StatusCode::OK => match D::stage_results(reply.body(), pieces.len()) {
@@ -473,12 +490,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => CallOutcome::Busy,
         status => CallOutcome::Failed(format!("status {status}")),
     };
-    let limit = match (&outcome, D::read_reply(reply.status(), reply.headers()).limit) {
-        // A reply that is not the target's answer to the call does not end its limit.
-        (CallOutcome::Failed(_), LimitStatement::Unlimited) => LimitStatement::Unknown,
-        (_, limit) => limit,
-    };
-    (outcome, limit)
+    (outcome, Some(D::read_reply(reply.status(), reply.headers())))
 }
 
 fn post_request<D: Dialect>(
@@ -530,13 +542,16 @@
         let target = state.targets.entry(tracked.target.id.clone()).or_default();
         std::mem::take(&mut target.pending_releases)
     };
-    if shared.limits.per_s(&tracked).is_some() {
+    let sent_at = boottime::now();
+    if shared.limits.per_s(&tracked).is_some() || tracked.hold.until(sent_at).is_some() {
         // A target in need gets no calls that are not needed: the results expire without them.
         return;
     }
     let req = post_request::<D>(&tracked, D::RELEASE_PATH, D::release_call(&handles));
     match upstream::call(tracked.target.addr, req, RELEASE_TIMEOUT, MAX_REPLY_BYTES).await {
-        Ok(_) => {
+        Ok(reply) => {
+            let head = D::read_reply(reply.status(), reply.headers());
+            announcements::observe(&shared.targets, &tracked, &head, sent_at);
             let mut pools = shared.batcher.pools.lock();
             let state = pools.entry(tracked.target.pool.clone()).or_default();
             let target = state.targets.entry(tracked.target.id.clone()).or_default();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -85,6 +85,10 @@
     pub not_run: bool,
     /// What the reply says about the target's limit.
     pub limit: LimitStatement,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the target wants no requests; set in refusals only.
+    pub pause: Option<Duration>,
 }
 
 /// A unit of batched work: one part of a stage, sent to a target in a call together with other pieces.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The protocol spoken with callers, targets and the store is an implementation of [`dialect::Dialect`]. No other
 //! module depends on its names and formats.
 
+mod announcements;
 mod attempts;
 mod batcher;
 mod crashes;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -315,6 +315,7 @@
 ) -> Result<TargetResponse, Failure> {
     attempts.check_quarantine().await?;
     attempts.find_origin().await?;
+    attempts.check_targets()?;
     attempts.check_limits()?;
     attempts.admit()?;
     // The answer of a target that failed, for the caller if no other target answers.
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -9,6 +9,7 @@
 use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::router::{Candidate, Load};
 use marigold_core::stream_origin::{Origin, VersionHistory};
+use marigold_core::target_hold::TargetHold;
 use marigold_core::targets::{Target, TargetList};
 use marigold_core::{placement, targets};
 use marigold_process::boottime;
@@ -18,7 +19,9 @@
 #[derive(Debug)]
 pub(crate) struct TrackedTarget {
     pub(crate) target: Target,
-    pub(crate) load: Load,
+    pub(crate) load: Arc<Load>,
+    /// Pause that the target has asked for.
+    pub(crate) hold: Arc<TargetHold>,
     /// Since when targets of the pool with this software version are listed.
     version_since: Uptime,
 }
@@ -78,6 +81,15 @@
         self.versions.lock().only_version(pool, now, window).cloned()
     }
 
+    /// Records that a target has said in a reply that it leaves; returns whether that is new.
+    pub(crate) fn announce_leaving(&self, target: &Target, now: Uptime) -> bool {
+        // Each of its replies says so, and an update is not cheap.
+        if !self.has_start(&target.id, target.started_at_ms) {
+            return false;
+        }
+        self.update(|list| list.announce_leaving(target, now))
+    }
+
     /// Records that changes of the list may have been missed before now.
     pub(crate) fn on_gap(&self, now: Uptime) {
         self.versions.lock().on_gap(now);
@@ -129,7 +141,7 @@
         self.list.lock().missing_count()
     }
 
-    /// Changes the list with `change` and updates the table; targets that are unchanged keep their load.
+    /// Changes the list with `change` and updates the table; targets that have not started again keep their load and hold.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut targets::TargetList) -> T) -> T {
         let mut list = self.list.lock();
         let result = change(&mut list);
@@ -144,9 +156,16 @@
             let kept = by_id.get(target.id.as_str()).filter(|tracked| tracked.target == *target);
             let tracked = kept.map(|tracked| Arc::clone(tracked)).unwrap_or_else(|| {
                 let version_since = versions.listed_since(&target.pool, &target.version);
+                let same_start = by_id
+                    .get(target.id.as_str())
+                    .filter(|tracked| tracked.target.started_at_ms == target.started_at_ms);
+                let (load, hold) = same_start
+                    .map(|tracked| (tracked.load.clone(), tracked.hold.clone()))
+                    .unwrap_or_default();
                 Arc::new(TrackedTarget {
                     target: target.clone(),
-                    load: Load::default(),
+                    load,
+                    hold,
                     version_since: version_since.unwrap_or_default(),
                 })
             });
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -146,6 +146,10 @@
     arrivals: Mutex<Vec<Arrival>>,
     /// Value of the header with which each reply names the replica's limit.
     limit: Mutex<Option<String>>,
+    /// Whether each reply says that the replica leaves.
+    is_leaving: AtomicBool,
+    /// Value of `Retry-After` with which the replica refuses all requests.
+    pause: Mutex<Option<String>>,
     /// Whether each reply to a stage call comes a second time, when the next call has arrived on its connection.
     repeats_stage_replies: AtomicBool,
     completed: Mutex<HashMap<String, CompletedPiece>>,
@@ -250,6 +254,16 @@
         *self.state.limit.lock() = limit.map(str::to_owned);
     }
 
+    /// Says in all replies from now on that the replica leaves.
+    pub fn announce_leaving(&self) {
+        self.state.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Refuses all requests with this value of `Retry-After` from now on; `None` ends it.
+    pub fn set_pause(&self, pause: Option<&str>) {
+        *self.state.pause.lock() = pause.map(str::to_owned);
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.state.in_progress.load(Ordering::SeqCst)
@@ -343,6 +357,12 @@
                 self.respond(421, &[("Instance-Id", &self.id.clone())], b"").await?;
                 continue;
             }
+            let pause = self.state.pause.lock().clone();
+            if let Some(pause) = pause {
+                let headers = [("Not-Executed", "1"), ("Retry-After", pause.as_str())];
+                self.respond(503, &headers, b"").await?;
+                continue;
+            }
             match run.request_line.as_str() {
                 "POST /stage-run" => self.run_pieces(&run).await?,
                 "POST /stage-free" => {
@@ -397,14 +417,19 @@
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        head.push_str(&self.limit_header());
+        head.push_str(&self.state_headers());
         self.stream.write_all(&[head.as_bytes(), b"\r\n", body].concat()).await
     }
 
-    /// Returns the header line that names the replica's limit, or nothing.
-    fn limit_header(&self) -> String {
+    /// Returns the header lines that tell the replica's limit and that it leaves.
+    fn state_headers(&self) -> String {
         let limit = self.state.limit.lock();
-        limit.as_ref().map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"))
+        let mut lines =
+            limit.as_ref().map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
+        if self.state.is_leaving.load(Ordering::SeqCst) {
+            lines.push_str("Server-Leaving: 1\r\n");
+        }
+        lines
     }
 
     async fn run_pieces(&mut self, run: &Run) -> std::io::Result<()> {
@@ -534,7 +559,7 @@
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        head.push_str(&self.limit_header());
+        head.push_str(&self.state_headers());
         format!("{head}\r\n")
     }
 
