--- a/crates/marigold/src/bin/marigold-load.rs
+++ b/crates/marigold/src/bin/marigold-load.rs
@@ -1,6 +1,8 @@
 //! `marigold-load`: load generator, benchmarks and simulations.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::BufReader;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -8,6 +10,7 @@
 use anyhow::Context as _;
 use bpaf::Bpaf;
 use marigold::measure::{capacity, overhead, policy, recovery, tokens};
+use marigold_load::account::Account;
 use marigold_load::drive::Driver;
 use marigold_load::experiment::Experiment;
 use marigold_load::{arrivals, plot, report};
@@ -38,6 +41,19 @@
         #[bpaf(positional("EXPERIMENT"))]
         experiment: PathBuf,
     },
+    /// Account for the logs of gateways: who waited or was refused, and how full the calls to stage pools were
+    #[bpaf(command)]
+    Account {
+        /// Length of a window, in seconds
+        #[bpaf(argument("S"), fallback(4.0), display_fallback)]
+        window_s: f64,
+        /// Write a chart of the answered requests by route and window to this file as SVG
+        #[bpaf(argument("FILE"), optional)]
+        svg: Option<PathBuf>,
+        /// Log with one JSON entry a line
+        #[bpaf(positional("LOG"))]
+        log: PathBuf,
+    },
     /// Compare the policy with its baselines in virtual time
     #[bpaf(command)]
     Policy,
@@ -134,6 +150,21 @@
             }
             Ok(())
         }
+        Options::Account { window_s, svg, log } => {
+            let window = Duration::try_from_secs_f64(window_s)
+                .with_context(|| format!("window of {window_s} s"))?;
+            let file = File::open(&log).with_context(|| format!("opening {}", log.display()))?;
+            let account = Account::read(BufReader::new(file), window)
+                .with_context(|| format!("reading {}", log.display()))?;
+            print!("{}", account.to_text());
+            if let Some(path) = svg {
+                let shares = account.answered_shares();
+                let text = plot::bar_chart("Answered requests by route and time", "%", &shares);
+                std::fs::write(&path, text)
+                    .with_context(|| format!("writing {}", path.display()))?;
+            }
+            Ok(())
+        }
         Options::Policy => {
             policy::run();
             Ok(())
