--- a/crates/load/src/account.rs
+++ b/crates/load/src/account.rs
@@ -16,7 +16,7 @@
 const MAX_MS: u64 = 600_000;
 
 /// Line of a log, as far as it is needed.
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(default)]
 struct Line {
     timestamp: String,
@@ -31,23 +31,6 @@
     waited_ms: u64,
 }
 
-impl Default for Line {
-    fn default() -> Self {
-        Self {
-            timestamp: String::new(),
-            message: String::new(),
-            route: String::new(),
-            pool: String::new(),
-            status: 0,
-            first_byte_ms: None,
-            took_ms: 0,
-            pieces: 0,
-            no_room: 0,
-            waited_ms: 0,
-        }
-    }
-}
-
 /// Durations in milliseconds.
 struct Durations(Histogram<u64>);
 
