Gateway: read the targets of a pool once for the check before a request's work

The check copied the list of the pool's targets twice for each request: to see whether there are any, and whether all want a pause. Behaviour is the same; announcements, gateway and limits tests pass.

--- a/crates/core/src/result_memory.rs
+++ b/crates/core/src/result_memory.rs
@@ -42,7 +42,7 @@
         self.tracked(now) + (untracked as f64 * share) as u64
     }
 
-    /// Records that a call begins whose results have `bytes`. Its target needs room for them from its begin.
+    /// Records that a call begins whose results have `bytes`. Its target needs room for them from its start.
     pub fn start_call(&mut self, bytes: u64, now: Uptime) -> CallMemory {
         let used_before = self.tracked(now);
         self.in_flight += bytes;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -293,7 +293,8 @@
             let picked = self.pick_target(now, &held).filter(|_| not_run < MAX_NOT_RUN_ATTEMPTS);
             let Some(tracked) = picked else {
                 let is_limited = not_run < MAX_NOT_RUN_ATTEMPTS && self.is_pool_in(&held);
-                return Err(match self.all_held_until(now) {
+                let targets = self.shared.targets.in_pool(&self.pool);
+                return Err(match self.all_held_until(&targets, now) {
                     _ if is_limited => self.limit_failure(),
                     Some(until) => self.hold_failure(until.saturating_sub(now)),
                     None => self.no_target_failure(),
--- a/crates/gateway/src/attempts/held.rs
+++ b/crates/gateway/src/attempts/held.rs
@@ -1,5 +1,6 @@
 //! Requests to pools whose targets leave or have asked for a pause.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use marigold_core::ids::Uptime;
@@ -10,6 +11,7 @@
 use super::Attempts;
 use crate::dialect::Dialect;
 use crate::response::Failure;
+use crate::targets::TrackedTarget;
 
 impl<D: Dialect, S: Store> Attempts<D, S> {
     /// Refuses the request, before any work is done, while no target of its pool takes requests.
@@ -17,19 +19,22 @@
     /// # Errors
     /// A refusal.
     pub(crate) fn check_targets(&self) -> Result<(), Failure> {
-        if self.shared.targets.in_pool(&self.pool).is_empty() {
+        let (targets, now) = (self.shared.targets.in_pool(&self.pool), boottime::now());
+        if targets.is_empty() {
             return Err(self.no_target_failure());
         }
-        let now = boottime::now();
-        match self.all_held_until(now) {
+        match self.all_held_until(&targets, now) {
             Some(until) => Err(self.hold_failure(until.saturating_sub(now))),
             None => Ok(()),
         }
     }
 
-    /// Returns the earliest end of the pauses of the targets that have not been tried, if all of them want one.
-    pub(super) fn all_held_until(&self, now: Uptime) -> Option<Uptime> {
-        let targets = self.shared.targets.in_pool(&self.pool);
+    /// Returns the earliest end of the pauses of those `targets` of the pool that have not been tried, if all of them want one.
+    pub(super) fn all_held_until(
+        &self,
+        targets: &[Arc<TrackedTarget>],
+        now: Uptime,
+    ) -> Option<Uptime> {
         let untried = targets.iter().filter(|tracked| !self.tried.contains(&tracked.target.id));
         let ends: Option<Vec<Uptime>> = untried.map(|tracked| tracked.hold.until(now)).collect();
         ends?.into_iter().min()
