Review: answers without a length that break off are passed on as whole (case 4)

Seen: a replica that answers without a length is killed, and the kernel ends its connections in order. The gateway adds a Content-Length of the bytes that it has, and callers get 200 with the replica's seal and a part of the answer, or nothing of it, also for requests that may run only once.

At fault: gather and read_full (crates/gateway/src/request.rs), and EventStream::next for streams, take the end of a connection for the end of the answer and do not ask whether the target has ended.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::replica::{Options, Replica, Run};
 use crate::store::Store;
+use crate::unframed::{self, Process};
 
 const HOST: &str = "cantar.example";
 /// `revokeMs` of the deployment.
@@ -375,3 +376,74 @@
     ));
     Ok(broken > 0)
 }
+
+/// A replica is killed while it writes answers without a length. With `TROUBLE=0` none is killed.
+pub fn cut_answers(setup: &Setup) -> io::Result<bool> {
+    let record = &setup.record;
+    let route = |name: &str, kind: &str, attempts: u32| {
+        format!(
+            r#"{{"name":"{name}","host":"{HOST}","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":1200,"targetLatencyMs":150,"priority":2,"service":"cantar","maxAttempts":{attempts},"public":false,"sticky":false,"resumable":false}}"#
+        )
+    };
+    let config = config(
+        7,
+        &[route("tichet", "non_idempotent", 1), route("stoc", "idempotent", 2)].join(","),
+        r#"{"name":"cantar","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}"#,
+        r#"{"name":"tenant-0","apiKeys":["key-baling"],"priority":1}"#,
+    );
+    let deployment = Deployment::start(setup, &config, &[])?;
+    let zones = ["braila-a", "braila-b", "galati-c"];
+    let start = |number: usize| {
+        let (id, zone) = (format!("i-cantar-{number}"), zones[number % zones.len()]);
+        Process::start(&id, "cantar", zone, &deployment.store, record)
+    };
+    let mut replicas: Vec<Process> = (0..4).map(start).collect::<io::Result<_>>()?;
+    thread::sleep(millis(2_500));
+    let mut callers = Callers::new(record);
+    let started = Instant::now();
+    let (mut killed_at, mut sent) = (None, 0);
+    for number in 0..60_u64 {
+        for gateway in &deployment.gateways {
+            sent += 1;
+            let id = format!("{sent:016x}");
+            let path = if number % 2 == 0 { "/tichet/nou" } else { "/stoc/toate" };
+            callers.send(Call { path: path.to_owned(), ..ticket(id, gateway.addr, "key-baling") });
+        }
+        thread::sleep(millis(30));
+        if setup.has_trouble && killed_at.is_none() && started.elapsed() > millis(900) {
+            killed_at = Some(Instant::now());
+            record.line(&format!("{} gets SIGKILL", replicas[0].id));
+            replicas[0].kill();
+        }
+    }
+    let exchanges = callers.finish();
+    let mut broken = 0;
+    let mut served = 0;
+    for Exchange { call, ended_at, answer, .. } in &exchanges {
+        if answer.status != Some(200) || !answer.is_complete {
+            continue;
+        }
+        let whole = unframed::whole(&call.id);
+        if answer.body == whole.as_bytes() {
+            served += 1;
+            continue;
+        }
+        broken += 1;
+        let seal = crate::http::find(&answer.headers, "replica-seal").unwrap_or("-");
+        record.tell(&format!(
+            "{} {} at {:.3}: 200, whole, seal {seal}, with {} bytes of the answer's {}",
+            call.id,
+            call.path,
+            record.seconds(*ended_at),
+            answer.body.len(),
+            whole.len()
+        ));
+    }
+    if served == 0 {
+        return Err(io::Error::other("no request was served"));
+    }
+    record.tell(&format!(
+        "MIXED: {broken} answers that broke off reached their callers as whole successes; {served} were whole"
+    ));
+    Ok(broken > 0)
+}
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod replica;
 mod store;
+mod unframed;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +32,12 @@
 fn run() -> std::io::Result<bool> {
     let usage = || std::io::Error::other("usage: review-cases CASE ROOT RECORD");
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if let [mode, id] = args.as_slice()
+        && mode == "replica"
+    {
+        unframed::serve(id)?;
+        return Ok(false);
+    }
     let [case, root, record] = args.as_slice() else { return Err(usage()) };
     let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
@@ -43,6 +50,7 @@
     let result = match case.as_str() {
         "keys-all-revoked" => cases::keys_all_revoked(&setup),
         "key-after-restore" => cases::key_after_restore(&setup),
+        "cut-answers" => cases::cut_answers(&setup),
         "silent-streams" => cases::silent_streams(&setup),
         _ => Err(usage()),
     };
