--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -13,13 +13,34 @@
 pub struct Call {
     pub id: String,
     pub gateway: SocketAddr,
+    pub method: &'static str,
     pub path: String,
     pub host: &'static str,
-    pub key: String,
+    /// Key of a tenant; none for requests without one.
+    pub key: Option<String>,
     pub deadline: Duration,
     /// Headers beside those that each request has.
     pub headers: Vec<(&'static str, String)>,
     pub body: Vec<u8>,
+    /// Time from the opening of the channel to the request.
+    pub pause: Duration,
+}
+
+impl Call {
+    pub fn new(id: &str, gateway: SocketAddr, path: &str, key: Option<&str>) -> Self {
+        Self {
+            id: id.to_owned(),
+            gateway,
+            method: "POST",
+            path: path.to_owned(),
+            host: crate::config::HOST,
+            key: key.map(str::to_owned),
+            deadline: Duration::from_millis(2_500),
+            headers: Vec::new(),
+            body: b"body".to_vec(),
+            pause: Duration::ZERO,
+        }
+    }
 }
 
 /// A request with its answer.
@@ -66,18 +87,30 @@
 /// Sends a request and waits for its answer.
 pub fn exchange(call: Call, record: &Record) -> Exchange {
     let deadline = call.deadline.as_millis().to_string();
-    let key = format!("Bearer {}", call.key);
+    let key = call.key.as_ref().map(|key| format!("Bearer {key}"));
     let mut headers = vec![
         ("Host", call.host),
         ("Attempt-Id", call.id.as_str()),
         ("Deadline-Ms", deadline.as_str()),
-        ("Authorization", key.as_str()),
     ];
+    headers.extend(key.as_ref().map(|key| ("Authorization", key.as_str())));
     headers.extend(call.headers.iter().map(|(name, value)| (*name, value.as_str())));
-    let sent_at = Instant::now();
-    record.line(&format!("sent {} key={} to {}", call.id, call.key, call.gateway));
-    let (addr, timeout) = (call.gateway, call.deadline);
-    let answer = http::exchange(addr, "POST", &call.path, &headers, &call.body, timeout);
+    let mut sent_at = Instant::now();
+    let on_send = || {
+        sent_at = Instant::now();
+        let key = call.key.as_deref().unwrap_or("-");
+        record.line(&format!("sent {} {} key={key} to {}", call.id, call.path, call.gateway));
+    };
+    let to = http::Destination { addr: call.gateway, pause: call.pause };
+    let message = http::Message {
+        method: call.method,
+        path: &call.path,
+        headers: &headers,
+        body: &call.body,
+    };
+    // A little longer than the deadline, so that an answer at the deadline is seen.
+    let timeout = call.deadline + Duration::from_millis(500);
+    let answer = http::exchange(to, &message, timeout, on_send);
     let ended_at = Instant::now();
     let status = answer.status.map_or("none".to_owned(), |status| status.to_string());
     let end = if answer.is_complete { "whole".to_owned() } else { answer.error.clone() };
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,12 +19,27 @@
 const TEMPLATE: &str = "platform/gateway.toml";
 /// Time within which a gateway has to be ready.
 const READY_TIME: Duration = Duration::from_secs(15);
+/// Time within which a gateway ends after SIGTERM: `gracePeriodS` of the settings.
+const END_TIME: Duration = Duration::from_secs(8);
 const SIGTERM: i32 = 15;
+const SIGHUP: i32 = 1;
+const SIGKILL: i32 = 9;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Processes that were started and have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all gateways that still run, when a case is given up.
+pub fn kill_all() {
+    for id in STARTED.lock().unwrap().drain(..) {
+        // SAFETY: `kill` takes two integers; the process is a child that has not been waited for.
+        unsafe { kill(id as i32, SIGKILL) };
+    }
+}
+
 pub struct Gateway {
     pub name: String,
     pub addr: SocketAddr,
@@ -90,17 +105,18 @@
 
     /// Returns whether the gateway says that it is ready.
     pub fn is_ready(&self) -> bool {
+        let to = http::Destination { addr: self.ready_addr, pause: Duration::ZERO };
         let headers = [("Host", "ready")];
-        let timeout = Duration::from_millis(500);
-        let answer = http::exchange(self.ready_addr, "GET", "/readyz", &headers, b"", timeout);
-        answer.status == Some(200)
+        let message =
+            http::Message { method: "GET", path: "/readyz", headers: &headers, body: b"" };
+        http::exchange(to, &message, Duration::from_millis(500), || {}).status == Some(200)
     }
 
     /// Waits until the gateway is ready.
-    pub fn wait_ready(&self) -> io::Result<()> {
+    pub fn wait_ready(&mut self) -> io::Result<()> {
         let started = Instant::now();
         while !self.is_ready() {
-            if started.elapsed() > READY_TIME {
+            if started.elapsed() > READY_TIME || self.child.try_wait()?.is_some() {
                 return Err(io::Error::other(format!("{} is not ready", self.name)));
             }
             thread::sleep(Duration::from_millis(20));
@@ -115,15 +131,31 @@
         unsafe { kill(self.child.id() as i32, SIGTERM) };
     }
 
-    pub fn kill(&mut self) {
-        self.record.line(&format!("{} gets SIGKILL", self.name));
+    /// Tells the process that its settings file has changed.
+    pub fn hang_up(&self) {
+        self.record.line(&format!("{} gets SIGHUP", self.name));
+        // SAFETY: `kill` takes two integers; the process is a child that has not been waited for.
+        unsafe { kill(self.child.id() as i32, SIGHUP) };
+    }
+
+    fn end(&mut self) {
+        STARTED.lock().unwrap().retain(|id| *id != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
-    /// Returns whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+    /// Waits until the process has ended by itself.
+    pub fn wait_end(&mut self) -> io::Result<()> {
+        let started = Instant::now();
+        while self.child.try_wait()?.is_none() {
+            if started.elapsed() > END_TIME {
+                return Err(io::Error::other(format!("{} does not end", self.name)));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        STARTED.lock().unwrap().retain(|id| *id != self.child.id());
+        self.record.line(&format!("{} has ended", self.name));
+        Ok(())
     }
 
     /// Starts the process again, on the same ports.
@@ -139,20 +171,21 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 }
 
 fn spawn(root: &Path, settings: &Path, is_first: bool) -> io::Result<Child> {
     let log = settings.with_extension("log");
     let log = if is_first { File::create(log)? } else { File::options().append(true).open(log)? };
-    Command::new(root.join(PROGRAM))
+    let child = Command::new(root.join(PROGRAM))
         .arg(settings)
         .current_dir(root)
         .env_remove("RUST_LOG")
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log)
-        .spawn()
+        .spawn()?;
+    STARTED.lock().unwrap().push(child.id());
+    Ok(child)
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -121,40 +121,56 @@
     pub error: String,
 }
 
-/// Sends a request on a connection of its own, and reads the answer until `timeout` has passed.
+/// Where a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Destination {
+    pub addr: SocketAddr,
+    /// Time from the opening of the connection to the request.
+    pub pause: Duration,
+}
+
+/// A request to send.
+#[derive(Clone, Copy, Debug)]
+pub struct Message<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub headers: &'a [(&'a str, &'a str)],
+    pub body: &'a [u8],
+}
+
+/// Sends a request on a connection of its own, and reads the answer until `timeout` has passed. Calls `on_send` when the
+/// request is about to be sent.
 pub fn exchange(
-    addr: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
+    to: Destination,
+    message: &Message<'_>,
     timeout: Duration,
+    on_send: impl FnOnce(),
 ) -> Answer {
     let mut answer = Answer::default();
-    if let Err(err) = read_answer(addr, method, path, headers, body, timeout, &mut answer) {
+    if let Err(err) = read_answer(to, message, timeout, on_send, &mut answer) {
         answer.error = err.to_string();
     }
     answer
 }
 
 fn read_answer(
-    addr: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
+    to: Destination,
+    message: &Message<'_>,
     timeout: Duration,
+    on_send: impl FnOnce(),
     answer: &mut Answer,
 ) -> io::Result<()> {
-    let deadline = Instant::now() + timeout;
-    let mut stream = TcpStream::connect_timeout(&addr, timeout.min(Duration::from_secs(1)))?;
+    let mut stream = TcpStream::connect_timeout(&to.addr, timeout.min(Duration::from_secs(1)))?;
     stream.set_nodelay(true)?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\n");
-    for (name, value) in headers {
+    std::thread::sleep(to.pause);
+    let deadline = Instant::now() + timeout;
+    let mut text = format!("{} {} HTTP/1.1\r\n", message.method, message.path);
+    for (name, value) in message.headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
-    text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
-    stream.write_all(&[text.as_bytes(), body].concat())?;
+    text.push_str(&format!("Content-Length: {}\r\n\r\n", message.body.len()));
+    on_send();
+    stream.write_all(&[text.as_bytes(), message.body].concat())?;
     let left = deadline.saturating_duration_since(Instant::now());
     stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
     let mut reader = Reader::new(stream);
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,71 +1,57 @@
-//! Cases of the review: `review-cases CASE ROOT RECORD`, with `TROUBLE=0` without the disruption.
+//! Stand-ins of the callers, the replicas and the platform, and the cases that the folders of `review` describe.
 //!
-//! Exits with 1 if a rule was broken, 0 if it held, and 2 if the case could not run.
+//! `review-cases CASE FOLDER` runs a case in the root of the repository and writes `record.txt` into the folder. It exits with
+//! 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run. With `TROUBLE=0` in the environment
+//! nothing is disturbed.
 
 mod caller;
 mod cases;
+mod config;
 mod gateway;
 mod http;
 mod json;
 mod record;
 mod replica;
+mod setup;
 mod store;
-mod unframed;
 
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::time::Duration;
+use std::{env, thread};
 
-use record::Record;
+/// Time after which a case that hangs is given up.
+const TIME_LIMIT: Duration = Duration::from_secs(115);
 
-/// What all cases need.
-pub struct Setup {
-    /// Root of the repository.
-    pub root: PathBuf,
-    /// Folder for settings and logs; removed at the end.
-    pub folder: PathBuf,
-    pub record: Arc<Record>,
-    /// Whether the disruption happens.
-    pub has_trouble: bool,
-}
-
-fn run() -> std::io::Result<bool> {
-    let usage = || std::io::Error::other("usage: review-cases CASE ROOT RECORD");
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    if let [mode, id] = args.as_slice()
-        && mode == "replica"
-    {
-        unframed::serve(id)?;
-        return Ok(false);
-    }
-    let [case, root, record] = args.as_slice() else { return Err(usage()) };
-    let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let setup = Setup {
-        root: PathBuf::from(root).canonicalize()?,
-        folder: folder.clone(),
-        record: Arc::new(Record::open(&PathBuf::from(record))?),
-        has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
-    };
-    let result = match case.as_str() {
-        "keys-all-revoked" => cases::keys_all_revoked(&setup),
-        "key-after-restore" => cases::key_after_restore(&setup),
-        "cut-answers" => cases::cut_answers(&setup),
-        "silent-streams" => cases::silent_streams(&setup),
-        _ => Err(usage()),
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let [case, folder] = args.as_slice() else {
+        eprintln!("review-cases CASE FOLDER");
+        return ExitCode::from(2);
     };
-    if std::env::var_os("KEEP_LOGS").is_none() {
-        let _ = std::fs::remove_dir_all(&folder);
+    let is_disturbed = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let (case, folder) = (case.clone(), folder.clone());
+    // The case runs in a thread, whose end frees all that it has started.
+    let runner = thread::spawn(move || cases::run(&case, Path::new(&folder), is_disturbed));
+    let started = std::time::Instant::now();
+    while !runner.is_finished() {
+        if started.elapsed() > TIME_LIMIT {
+            eprintln!("the case took too long");
+            gateway::kill_all();
+            return ExitCode::from(2);
+        }
+        thread::sleep(Duration::from_millis(20));
     }
-    result
-}
-
-fn main() -> ExitCode {
-    match run() {
-        Ok(true) => ExitCode::from(1),
-        Ok(false) => ExitCode::SUCCESS,
-        Err(err) => {
+    match runner.join() {
+        Ok(Ok(true)) => ExitCode::from(0),
+        Ok(Ok(false)) => ExitCode::from(1),
+        Ok(Err(err)) => {
             eprintln!("the case could not run: {err}");
+            gateway::kill_all();
+            ExitCode::from(2)
+        }
+        Err(_) => {
+            gateway::kill_all();
             ExitCode::from(2)
         }
     }
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -16,11 +16,6 @@
         Ok(Self { started: Instant::now(), file: Mutex::new(File::create(path)?) })
     }
 
-    /// Returns a moment in seconds since the start.
-    pub fn seconds(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.started).as_secs_f64()
-    }
-
     /// Writes a line.
     pub fn line(&self, text: &str) {
         let at = self.started.elapsed().as_secs_f64();
