--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case `stop`; exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Runs the case `rank`; exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/marigold-gateway target/review/release/review-cases; do
     if [ ! -x "$program" ]; then
@@ -7,4 +7,4 @@
         exit 2
     fi
 done
-exec target/review/release/review-cases stop review/4
+exec target/review/release/review-cases rank review/4
--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -4,7 +4,6 @@
 mod rank;
 mod restore;
 mod silence;
-mod stop;
 
 use std::io;
 use std::path::Path;
@@ -14,7 +13,6 @@
         "keys" => keys::run(folder, is_disturbed),
         "silence" => silence::run(folder, is_disturbed),
         "rank" => rank::run(folder, is_disturbed),
-        "stop" => stop::run(folder, is_disturbed),
         "restore" => restore::run(folder, is_disturbed),
         _ => Err(io::Error::other(format!("no case `{case}`"))),
     }
