--- a/review/standins/src/setup.rs
+++ b/review/standins/src/setup.rs
@@ -3,7 +3,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::{env, fs, process};
+use std::time::Duration;
+use std::{env, fs, process, thread};
 
 use crate::gateway::Gateway;
 use crate::record::Record;
@@ -13,6 +14,8 @@
 /// Zones of the deployment; the first gateway is in the first one, the second in the second one.
 pub const ZONES: [&str; 2] = ["braila-a", "braila-b"];
 
+/// Time after the start from which a machine counts as in touch: `contactMs` of the deployment, and a margin.
+const CONTACT_TIME: Duration = Duration::from_millis(3_500);
 /// Number of further starts of a gateway that does not become ready.
 const START_TRIES: usize = 3;
 
@@ -26,7 +29,7 @@
 }
 
 impl Setup {
-    /// Starts the store with a configuration, the replicas, and then the gateways; returns when these are ready.
+    /// Starts the store with a configuration, the replicas, and then the gateways; returns when these are in touch.
     pub fn start(
         folder: &Path,
         config: &str,
@@ -58,6 +61,7 @@
             gateway.wait_ready()?;
             setup.gateways.push(gateway);
         }
+        thread::sleep(CONTACT_TIME);
         Ok(setup)
     }
 
