--- a/review/standins/src/cases/rank.rs
+++ b/review/standins/src/cases/rank.rs
@@ -1,4 +1,4 @@
-//! A version of the configuration has a route with a high rank; a later version takes a key away.
+//! The configuration grows by many routes, each with a rank of its own; a later version takes a key away.
 
 use std::io;
 use std::path::Path;
@@ -15,12 +15,21 @@
 const APPLY_TIME: Duration = Duration::from_millis(2_000);
 const MARGIN: Duration = Duration::from_millis(1_000);
 const ROUNDS: usize = 5;
-/// Route of the least urgent requests.
-const ARCHIVE: &str = r#"{"name":"archive","host":"pule25.example","pathPrefix":"/archive/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":1000,"priority":1000,"service":"cantar","maxAttempts":2,"public":false}"#;
+/// Number of routes that are added.
+const ADDED_ROUTES: usize = 350;
+
+/// Returns a route with a rank of its own.
+fn added_route(number: usize) -> String {
+    let rank = number + 3;
+    format!(
+        r#"{{"name":"added-{number}","host":"pule25.example","pathPrefix":"/added-{number}/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":1000,"priority":{rank},"service":"cantar","maxAttempts":2,"public":false}}"#
+    )
+}
 
 pub fn run(folder: &Path, is_disturbed: bool) -> io::Result<bool> {
     let replicas = ["app-0", "app-1"].iter().zip(ZONES);
     let replicas = replicas.map(|(id, zone)| Options::new(id, "cantar", zone)).collect();
+    let added: Vec<String> = (0..ADDED_ROUTES).map(added_route).collect();
     let mut routes = vec![TICKET, STOCK];
     let setup = Setup::start(folder, &config(1, &routes, &KEYS), replicas, 2)?;
     let record = &setup.record;
@@ -32,13 +41,13 @@
         }
     }
     if is_disturbed {
-        routes.push(ARCHIVE);
+        routes.extend(added.iter().map(String::as_str));
         setup.store.put("config", "main", &config(2, &routes, &KEYS));
-        record.line("operator: version 2 adds a route with priority 1000");
+        record.line("operator: version 2 adds 350 routes");
         thread::sleep(APPLY_TIME + MARGIN);
         for process in &setup.gateways {
             let id = format!("added-{}", process.name);
-            caller::exchange(Call::new(&id, process.addr, "/archive/1", Some(KEYS[0])), record);
+            caller::exchange(Call::new(&id, process.addr, "/added-0/1", Some(KEYS[0])), record);
         }
     }
     setup.store.put("config", "main", &config(3, &routes, &KEYS[..1]));
