Gateway: log who was asked where a stream began, and which refused request takes one up

The reason 'unknown' did not tell a lost record from gateways that do not answer, nor did 'request not admitted' show streams that are taken up.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -163,6 +163,7 @@
         }
         tracing::info!(
             request = self.request(),
+            first_attempt = self.head.resumes,
             expected_ms = expected_latency.as_millis() as u64,
             unloaded_ms = unloaded_latency.as_millis() as u64,
             aim_ms = self.route.latency_objective.as_millis() as u64,
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -61,7 +61,17 @@
                 Begun { version: origin.version.clone(), origin: Some(origin) }
             }
             Found::Version(version) => Begun { version, origin: None },
-            Found::Unknown => return Err(self.version_failure("unknown")),
+            Found::Unknown { asked, answered } => {
+                tracing::info!(
+                    request = self.request(),
+                    first_attempt = self.head.resumes,
+                    pool = self.pool,
+                    asked,
+                    answered,
+                    "no gateway knows where the stream began"
+                );
+                return Err(self.version_failure("unknown"));
+            }
         };
         self.begun = Some(begun);
         self.check_version().map_err(|reason| self.version_failure(reason))
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -145,7 +145,8 @@
     Origin(Origin),
     /// The only version that its pool had.
     Version(SoftwareVersion),
-    Unknown,
+    /// Nobody knows it; how many other gateways were asked for a record, and how many answered.
+    Unknown { asked: usize, answered: usize },
 }
 
 /// Finds out where a stream began: from the own records, from those of others, or because its pool had one version only.
@@ -155,7 +156,8 @@
 ) -> Found {
     let own_version = || stream.pool.and_then(|pool| only_version(shared, pool, stream.window));
     let Some(resumes) = stream.resumes else {
-        return own_version().map_or(Found::Unknown, Found::Version);
+        let unknown = Found::Unknown { asked: 0, answered: 0 };
+        return own_version().map_or(unknown, Found::Version);
     };
     let key = stream_origin::key(stream.customer, resumes);
     let own = shared.origins.table.lock().get(key, boottime::now()).cloned();
@@ -170,14 +172,17 @@
     let asked = shared.members.ranked(&query.key, ASKED, false);
     let mut answers: FuturesUnordered<_> = asked.iter().map(|member| ask(member, &query)).collect();
     let mut version_of_others = None;
+    let mut answered = 0;
     while let Some(answer) = answers.next().await {
         let Some(answer) = answer else { continue };
+        answered += 1;
         if let Some(origin) = answer.origin {
             return Found::Origin(Origin::from(origin));
         }
         version_of_others = version_of_others.or(answer.only_version);
     }
-    own_version().or(version_of_others).map_or(Found::Unknown, Found::Version)
+    let unknown = Found::Unknown { asked: asked.len(), answered };
+    own_version().or(version_of_others).map_or(unknown, Found::Version)
 }
 
 async fn ask(member: &Member, query: &OriginQuery) -> Option<OriginAnswer> {
