Gateway: keep the origins of streams in the store while a pool has several versions

Cause: the version that began a stream was kept by the gateway that began it and by two others, in memory only. Gateways that fail together are one copy. Evidence: all gateways that were asked answered, none had a record (87 of 87 lines), and streams of a single killed gateway went on.

Now a gateway also writes the origins of its streams to the store, together with the records to the two others and under the same condition, so a pool with one version costs nothing. Writes are grouped: each holds the records since the last one, in a slot that is used again when its streams have ended. The first event waits for it, 60 ms at most with the answer of the other gateway. A gateway reads its slots when it starts; for one that does not answer the first gateway by rendezvous hashing does. Missing records are never a reason to go on: such streams are refused as before.

A store that deletes takes a version now, so that a slot of a gateway that is gone is not deleted after that gateway came back and wrote it. Records of streams that have ended are not sent when a pool gets a second version.

--- a/crates/core/src/stream_origin.rs
+++ b/crates/core/src/stream_origin.rs
@@ -1,6 +1,8 @@
 //! Where streams began. What targets of two software versions write of one stream does not fit together, so a stream goes
 //! on only at the version that began it.
 
+pub mod stored;
+
 use std::collections::{BTreeMap, HashMap, hash_map};
 use std::time::Duration;
 
@@ -71,6 +73,8 @@
     is_ambiguous: bool,
     /// Whether this gateway began the stream.
     is_own: bool,
+    /// When nobody can take the stream up any more, as far as is known.
+    needed_until: Uptime,
 }
 
 /// Records of the origins of streams, bounded by age, number and number of a customer. A record beyond a bound is not
@@ -99,7 +103,9 @@
             return false;
         }
         *count += 1;
-        self.entries.insert(record.key, Entry { record, is_ambiguous: false, is_own });
+        let needed_until = record.expires;
+        let entry = Entry { record, is_ambiguous: false, is_own, needed_until };
+        self.entries.insert(entry.record.key, entry);
         true
     }
 
@@ -109,10 +115,22 @@
         (entry.record.expires > now && !entry.is_ambiguous).then_some(&entry.record)
     }
 
-    /// Returns the records of streams that this gateway began in a pool.
+    /// Records that the caller of a stream has its last event at `until`.
+    pub fn on_end(&mut self, key: KeyDigest, until: Uptime) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.needed_until = until.min(entry.needed_until);
+        }
+    }
+
+    /// Returns whether the record of a stream may still be needed.
+    pub fn is_needed(&self, key: KeyDigest, now: Uptime) -> bool {
+        self.entries.get(&key).is_some_and(|entry| entry.needed_until > now)
+    }
+
+    /// Returns the records of the streams in progress that this gateway began in a pool.
     pub fn own_in_pool(&self, pool: &str, now: Uptime) -> Vec<Record> {
         let is_wanted = |entry: &&Entry| {
-            entry.is_own && entry.record.origin.pool == pool && entry.record.expires > now
+            entry.is_own && entry.record.origin.pool == pool && entry.needed_until > now
         };
         self.entries.values().filter(is_wanted).map(|entry| entry.record.clone()).collect()
     }
--- a/crates/core/tests/stream_origin.rs
+++ b/crates/core/tests/stream_origin.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use marigold_core::digest;
 use marigold_core::ids::KeyDigest;
-use marigold_core::stream_origin::{self, Origin, OriginTable, Record, VersionHistory};
+use marigold_core::stream_origin::{self, Origin, OriginTable, Record, VersionHistory, stored};
 use marigold_core::targets::Target;
+use marigold_schema::messages::StoredStreams;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -103,6 +105,57 @@
     assert!(table.own_in_pool("other", at(1)).is_empty());
 }
 
+/// The record of a stream that has ended must not stay in the store until its caller's deadline.
+#[test]
+fn is_needed_until_a_while_after_the_end() {
+    let mut table = OriginTable::default();
+    let stream = record(Some("a"), "r", "v1", 60);
+    assert!(!table.is_needed(stream.key, at(0)));
+    table.insert(stream.clone(), true, at(0));
+    assert!(table.is_needed(stream.key, at(59)));
+    table.on_end(stream.key, at(7));
+    assert!(table.is_needed(stream.key, at(6)));
+    assert!(!table.is_needed(stream.key, at(7)));
+    assert!(table.own_in_pool("engines", at(7)).is_empty());
+    // Its caller may not have the last event.
+    assert_eq!(version_of(&table, stream.key, 59), Some("v1"));
+}
+
+#[test]
+fn encode_then_decode_keeps_the_records() {
+    let mut records: Vec<Record> = (0..5)
+        .map(|number| {
+            let customer = ["a", "b"].get(number % 3).copied();
+            let version = if number % 2 == 0 { "v1" } else { "v2" };
+            record(customer, &number.to_string(), version, 20)
+        })
+        .collect();
+    let encoded = stored::encode(&records, at(8));
+    assert_eq!((encoded.origins.len(), encoded.customers.len()), (2, 2));
+    let text = serde_json::to_string(&encoded).unwrap();
+    let read: StoredStreams = serde_json::from_str(&text).unwrap();
+    // The clock of the run that reads them has nothing to do with the one before.
+    records.iter_mut().for_each(|record| record.expires = at(1_012));
+    assert_eq!(stored::decode(&read, at(1_000)), records);
+}
+
+/// One record that cannot be read must not cost the others, nor end the process.
+#[test]
+fn decode_invalid_streams_are_left_out() {
+    let sound = record(Some("a"), "r", "v1", 20);
+    let mut encoded = stored::encode(&[sound.clone(), sound.clone(), sound.clone()], at(0));
+    encoded.streams[0].key = "no number".to_owned();
+    encoded.streams[1].origin = 7;
+    assert_eq!(stored::decode(&encoded, at(0)), std::slice::from_ref(&sound));
+    encoded.streams[2].customer = Some(7);
+    assert!(stored::decode(&encoded, at(0)).is_empty());
+    let mut encoded = stored::encode(std::slice::from_ref(&sound), at(0));
+    encoded.streams[0].left_ms = u64::MAX;
+    assert_eq!(digest::from_wire(&encoded.streams[0].key), Some(sound.key));
+    let read = stored::decode(&encoded, at(1_000));
+    assert!(read[0].expires <= at(1_600), "{read:?}");
+}
+
 #[test]
 fn remove_expired_empties_the_table() {
     let mut table = OriginTable::default();
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -357,7 +357,7 @@
     let collector = shared.clone();
     tokio::spawn(async move {
         for hash in proposal.garbage {
-            if let Err(err) = collector.store.delete(BUCKET_KIND, &hash).await {
+            if let Err(err) = collector.store.delete(BUCKET_KIND, &hash, Expect::Any).await {
                 tracing::debug!(%err, "deleting a replaced bucket failed");
             }
         }
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -93,6 +93,14 @@
         origins::record(&self.shared, record, origins::window(self.route.timeout)).await;
     }
 
+    /// Records that the stream has ended with its last event.
+    pub(crate) fn on_stream_end(&self) {
+        if self.route.repeat == Repeat::Resumable {
+            let first = self.head.resumes.as_deref().unwrap_or(self.request());
+            origins::on_end(&self.shared, self.customer_name(), first);
+        }
+    }
+
     /// Checks that the stream can go on at the version that began it; the error is the reason why not.
     fn check_version(&self) -> Result<(), &'static str> {
         let Some(begun) = &self.begun else { return Ok(()) };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 use crate::peers::PeerHandler;
 use crate::ports::{CallersPort, MetricsPort, ReadinessPort};
 use crate::shared::Shared;
-use crate::{discovery, peers, stage_runner};
+use crate::{discovery, origins, peers, stage_runner};
 
 /// Time from a stop request to the closing of connections. The load balancer removes a gateway after two failed
 /// readiness checks, one a second, and opens new connections until then.
@@ -68,6 +68,8 @@
         discovery::spawn(&shared);
         tokio::spawn(peers::poll_forever(shared.clone()));
         tokio::spawn(stage_runner::release_forever(shared.clone()));
+        tokio::spawn(origins::stored::run(shared.clone()));
+        tokio::spawn(origins::stored::inherit_forever(shared.clone()));
         tracing::info!(name = settings.name, incarnation = shared.incarnation, callers = %callers.addr(), "gateway started");
         Ok(Self { shared, callers, _readiness: readiness, _metrics: metrics, _links: links, close })
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -319,6 +319,19 @@
         ranked.into_iter().take(count).map(|name| state.others[name].clone()).collect()
     }
 
+    /// Returns the gateways that do not answer and whose first heir is this one, with the time since when.
+    pub(crate) fn orphaned(&self) -> Vec<(Member, Uptime)> {
+        let state = self.state.lock();
+        let alive = || state.others.values().filter(|member| member.is_alive());
+        let is_heir = |member: &Member| {
+            let own_score = rendezvous::score(&member.name, &self.name);
+            alive().all(|other| rendezvous::score(&member.name, &other.name) < own_score)
+        };
+        let silent = state.others.values().filter(|m| m.missed_polls >= MISSED_POLL_LIMIT);
+        let orphaned = silent.filter(|member| is_heir(member));
+        orphaned.filter_map(|member| Some((member.clone(), member.silent_since?))).collect()
+    }
+
     /// Returns the owner of a target's limit: the owner of its pool where stages run, since that gateway sends the calls,
     /// and a gateway chosen by the target's id otherwise.
     pub(crate) fn limit_owner(&self, target: &Target) -> Owner {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     pub(crate) target_versions: Gauge<u64>,
     pub(crate) stream_origins: Gauge<u64>,
     pub(crate) streams_not_continued: Counter<u64>,
+    pub(crate) origins_stored_late: Counter<u64>,
     pub(crate) limited_targets: Gauge<u64>,
     pub(crate) target_limits: Gauge<f64>,
     pub(crate) limit_age: Gauge<f64>,
@@ -67,6 +68,10 @@
                 "marigold_streams_not_continued",
                 "Streams that could not go on because of their software version, by reason",
             ),
+            origins_stored_late: counter(
+                "marigold_origins_stored_late",
+                "Streams whose first event was passed on before the store had their origin",
+            ),
             target_versions: meter
                 .u64_gauge("marigold_target_versions")
                 .with_description(
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -2,20 +2,26 @@
 //!
 //! While a pool has had several versions, the gateway that begins a stream sends a record of its origin to other gateways
 //! before the caller gets the first event. A gateway at which a caller takes the stream up finds the record there, also
-//! when the first gateway is gone. Without a record the stream goes on only if the pool provably had one version. For that
-//! proof a version begins streams only after all gateways with a current list of targets know it.
+//! when the first gateway is gone; when all were lost at once, they read the records from the store. Without a record the
+//! stream goes on only if the pool provably had one version. For that proof a version begins streams only after all gateways
+//! with a current list of targets know it.
+
+pub(crate) mod stored;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use marigold_core::ids::{KeyDigest, SoftwareVersion, Uptime};
+use marigold_core::digest;
+use marigold_core::ids::{SoftwareVersion, Uptime};
 use marigold_core::stream_origin::{self, Origin, OriginTable, Record};
 use marigold_objects::Store;
 use marigold_process::boottime;
 use marigold_schema::messages::{OriginAnswer, OriginQuery, StreamOrigin};
 use parking_lot::Mutex;
+use tokio::time;
 
 use crate::dialect::Dialect;
 use crate::members::Member;
@@ -26,11 +32,15 @@
 const KEEPERS: usize = 2;
 /// Number of other gateways that are asked for a record. More than keep it, since memberships may differ.
 const ASKED: usize = 4;
-/// Time for which the first event waits until another gateway has the record. A fraction of the delay from which an event
+/// Time for which the first event waits until another gateway and the store have the record. A fraction of the delay from which an event
 /// counts as late.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a question for a record.
 pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after the last event for which a record stays in the store, as the caller may not have received it yet.
+const END_MARGIN: Duration = Duration::from_secs(2);
+/// Delay before gateways are asked again for a record that none has found, when some did not answer.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after a caller's deadline for which a record is kept.
 const RECORD_MARGIN: Duration = Duration::from_secs(5);
 /// Number of timeouts of its route that a stream may last in all, with its continuations.
@@ -40,6 +50,9 @@
 #[derive(Default)]
 pub(crate) struct Origins {
     table: Mutex<OriginTable>,
+    queue: stored::Queue,
+    /// Whether the records of the run before this one have been read from the store.
+    is_restored: AtomicBool,
 }
 
 impl Origins {
@@ -71,7 +84,8 @@
     version.filter(|_| shared.has_current_targets(now))
 }
 
-/// Records that a stream begins with its first event; returns after another gateway has the record, if one is needed.
+/// Records that a stream begins with its first event; returns after another gateway and the store have the record, if it is
+/// needed there.
 pub(crate) async fn record<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     record: Record,
@@ -83,18 +97,34 @@
     if !shared.origins.table.lock().insert(record.clone(), true, now) {
         tracing::warn!(customer = record.customer, "too many streams; origin not recorded");
     }
-    if !is_only && !send(shared, &record).await {
+    if is_only {
+        return;
+    }
+    let ticket = shared.origins.queue.push(record.clone());
+    let written = time::timeout(RECORD_TIMEOUT, shared.origins.queue.wait_written(ticket));
+    let (is_kept, written) = tokio::join!(send(shared, &record), written);
+    if written.is_err() {
+        shared.metrics.origins_stored_late.add(1, &[]);
+    }
+    if !is_kept {
         tracing::info!(
             pool = record.origin.pool,
             software = record.origin.version,
+            is_stored = written.is_ok(),
             "no other gateway has recorded the origin of a stream"
         );
     }
 }
 
+/// Records that a stream has ended with its last event.
+pub(crate) fn on_end<D: Dialect, S>(shared: &Shared<D, S>, customer: Option<&str>, first: &str) {
+    let until = boottime::now() + END_MARGIN;
+    shared.origins.table.lock().on_end(stream_origin::key(customer, first), until);
+}
+
 /// Sends a record to the gateways that keep it; returns whether one has answered in time.
 async fn send<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, record: &Record) -> bool {
-    let keepers = shared.members.ranked(&key_text(record.key), KEEPERS, true);
+    let keepers = shared.members.ranked(&digest::to_wire(record.key), KEEPERS, true);
     let message = to_message(record, boottime::now());
     let mut sent: FuturesUnordered<_> = keepers
         .into_iter()
@@ -114,7 +144,7 @@
         }
         false
     };
-    tokio::time::timeout(RECORD_TIMEOUT, first).await.unwrap_or(false)
+    time::timeout(RECORD_TIMEOUT, first).await.unwrap_or(false)
 }
 
 /// Sends the records of the streams that this gateway began in pools that have just got a second version.
@@ -122,8 +152,11 @@
     for pool in pools {
         let records = shared.origins.table.lock().own_in_pool(&pool, boottime::now());
         tracing::info!(pool, streams = records.len(), "pool has several software versions");
-        for record in records {
-            send(&shared, &record).await;
+        for record in &records {
+            shared.origins.queue.push(record.clone());
+        }
+        for record in &records {
+            send(&shared, record).await;
         }
     }
 }
@@ -154,6 +187,17 @@
     shared: &Arc<Shared<D, S>>,
     stream: TakenUp<'_>,
 ) -> Found {
+    let first = find_once(shared, stream).await;
+    let Found::Unknown { asked, answered } = first else { return first };
+    if answered == asked && shared.origins.is_restored.load(Ordering::Relaxed) {
+        return first;
+    }
+    // Gateways that were lost together start again within some hundred milliseconds of each other.
+    time::sleep(RETRY_DELAY).await;
+    find_once(shared, stream).await
+}
+
+async fn find_once<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, stream: TakenUp<'_>) -> Found {
     let own_version = || stream.pool.and_then(|pool| only_version(shared, pool, stream.window));
     let Some(resumes) = stream.resumes else {
         let unknown = Found::Unknown { asked: 0, answered: 0 };
@@ -165,7 +209,7 @@
         return Found::Origin(record.origin);
     }
     let query = OriginQuery {
-        key: key_text(key),
+        key: digest::to_wire(key),
         pool: stream.pool.map(str::to_owned),
         window_ms: stream.window.as_millis() as u64,
     };
@@ -198,7 +242,7 @@
 /// Keeps a record for another gateway.
 pub(crate) fn keep<D, S>(shared: &Shared<D, S>, message: StreamOrigin) -> bool {
     let now = boottime::now();
-    let Some(key) = parse_key(&message.key) else { return false };
+    let Some(key) = digest::from_wire(&message.key) else { return false };
     let expires = now + Duration::from_millis(message.left_ms);
     let record =
         Record { key, customer: message.customer.clone(), origin: message.into(), expires };
@@ -209,26 +253,18 @@
 pub(crate) fn answer<D: Dialect, S>(shared: &Shared<D, S>, query: &OriginQuery) -> OriginAnswer {
     let now = boottime::now();
     let window = Duration::from_millis(query.window_ms);
-    let record =
-        parse_key(&query.key).and_then(|key| shared.origins.table.lock().get(key, now).cloned());
+    let record = digest::from_wire(&query.key)
+        .and_then(|key| shared.origins.table.lock().get(key, now).cloned());
     OriginAnswer {
         origin: record.map(|record| to_message(&record, now)),
         only_version: query.pool.as_ref().and_then(|pool| only_version(shared, pool, window)),
     }
 }
 
-fn key_text(key: KeyDigest) -> String {
-    format!("{key:032x}")
-}
-
-fn parse_key(text: &str) -> Option<KeyDigest> {
-    KeyDigest::from_str_radix(text, 16).ok()
-}
-
 fn to_message(record: &Record, now: Uptime) -> StreamOrigin {
     let Record { key, customer, origin, expires } = record.clone();
     StreamOrigin {
-        key: key_text(key),
+        key: digest::to_wire(key),
         customer,
         pool: origin.pool,
         version: origin.version,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -163,7 +163,10 @@
                     return "caller_left";
                 }
             }
-            StreamItem::End => return "whole",
+            StreamItem::End => {
+                attempts.on_stream_end();
+                return "whole";
+            }
             StreamItem::Broken(reason) => {
                 stream.on_failure();
                 crashes::on_break(&attempts.shared, stream.sent().tracked(), None);
--- a/crates/objects/src/memory.rs
+++ b/crates/objects/src/memory.rs
@@ -129,8 +129,8 @@
         self.write(kind, name, Some(value), expect)
     }
 
-    async fn delete(&self, kind: &str, name: &str) -> Result<()> {
-        self.write(kind, name, None, Expect::Any).map(drop)
+    async fn delete(&self, kind: &str, name: &str, expect: Expect) -> Result<()> {
+        self.write(kind, name, None, expect).map(drop)
     }
 
     async fn watch(&self, kind: &str, after: Version, wait: Duration) -> Result<Changes> {
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -19,8 +19,13 @@
         expect: Expect,
     ) -> impl Future<Output = Result<Version>> + Send;
 
-    /// Deletes an object; succeeds if it does not exist.
-    fn delete(&self, kind: &str, name: &str) -> impl Future<Output = Result<()>> + Send;
+    /// Deletes an object if the condition holds; without a condition it succeeds if the object does not exist.
+    fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+    ) -> impl Future<Output = Result<()>> + Send;
 
     /// Returns the objects of a kind that changed after version `after`; waits up to `wait` for the first change.
     ///
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -3036,6 +3036,140 @@
     pub era: u64,
     pub revision: u64,
 }
+///Target that began streams.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Target that began streams.",
+///  "type": "object",
+///  "required": [
+///    "pool",
+///    "started_at_ms",
+///    "target",
+///    "version"
+///  ],
+///  "properties": {
+///    "pool": {
+///      "type": "string"
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the target, in milliseconds since the Unix epoch.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "target": {
+///      "type": "string"
+///    },
+///    "version": {
+///      "description": "Version of the target's software.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoredOrigin {
+    pub pool: ::std::string::String,
+    ///Start of the target, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    pub target: ::std::string::String,
+    ///Version of the target's software.
+    pub version: ::std::string::String,
+}
+///Stream in the store.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Stream in the store.",
+///  "type": "object",
+///  "required": [
+///    "key",
+///    "left_ms",
+///    "origin"
+///  ],
+///  "properties": {
+///    "customer": {
+///      "description": "Index of the customer; absent on a public route.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "key": {
+///      "description": "Digest of the customer and of the attempt that brought the first event, in hexadecimal.",
+///      "type": "string"
+///    },
+///    "left_ms": {
+///      "description": "Time for which the record is needed, from when it was written, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "origin": {
+///      "description": "Index of the target that wrote the first event.",
+///      "type": "integer",
+///      "format": "uint32"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoredStream {
+    ///Index of the customer; absent on a public route.
+    #[serde(default)]
+    pub customer: ::std::option::Option<u32>,
+    ///Digest of the customer and of the attempt that brought the first event, in hexadecimal.
+    pub key: ::std::string::String,
+    ///Time for which the record is needed, from when it was written, in milliseconds.
+    pub left_ms: u64,
+    ///Index of the target that wrote the first event.
+    pub origin: u32,
+}
+///Origins of the streams of a gateway, as kept in the store.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Origins of the streams of a gateway, as kept in the store.",
+///  "type": "object",
+///  "required": [
+///    "customers",
+///    "origins",
+///    "streams"
+///  ],
+///  "properties": {
+///    "customers": {
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "origins": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StoredOrigin"
+///      }
+///    },
+///    "streams": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StoredStream"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoredStreams {
+    pub customers: ::std::vec::Vec<::std::string::String>,
+    pub origins: ::std::vec::Vec<StoredOrigin>,
+    pub streams: ::std::vec::Vec<StoredStream>,
+}
 ///Record of the target that wrote the first event of a stream.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/schema/src/settings.rs
+++ b/crates/schema/src/settings.rs
@@ -331,6 +331,11 @@
 ///      "description": "IP address and port of the platform's object store.",
 ///      "type": "string"
 ///    },
+///    "store_writes_per_s": {
+///      "description": "Writes a second that the store takes from all gateways together.",
+///      "default": 400,
+///      "type": "number"
+///    },
 ///    "target_heartbeat_ms": {
 ///      "description": "Interval at which targets renew their entries in the store, in milliseconds; an entry expires after three of them.",
 ///      "default": 1200,
@@ -386,6 +391,9 @@
     pub stop_s: ::std::num::NonZeroU32,
     ///IP address and port of the platform's object store.
     pub store: ::std::string::String,
+    ///Writes a second that the store takes from all gateways together.
+    #[serde(default = "defaults::gateway_settings_store_writes_per_s")]
+    pub store_writes_per_s: f64,
     ///Interval at which targets renew their entries in the store, in milliseconds; an entry expires after three of them.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 1200>")]
     pub target_heartbeat_ms: ::std::num::NonZeroU64,
@@ -469,6 +477,13 @@
 }
 /// Generation of default values for serde.
 pub mod defaults {
+    pub(super) fn default_i64<T, const V: i64>() -> T
+    where
+        T: ::std::convert::TryFrom<i64>,
+        <T as ::std::convert::TryFrom<i64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
     pub(super) fn default_nzu64<T, const V: u64>() -> T
     where
         T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
@@ -476,4 +491,7 @@
     {
         T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
     }
+    pub(super) fn gateway_settings_store_writes_per_s() -> f64 {
+        400_f64
+    }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -216,6 +216,14 @@
     (status, Json(Value::Null))
 }
 
+/// Returns the response to a write whose condition does not hold, which has the object.
+async fn conflict(platform: &Platform, kind: &str, name: &str) -> Response {
+    match platform.store.get(kind, name).await {
+        Ok(Some(object)) => (Status::Conflict, Json(object_json(&object))),
+        _ => empty_response(Status::NotFound),
+    }
+}
+
 async fn put_object(
     platform: &Platform,
     kind: &str,
@@ -236,10 +244,7 @@
             let object = Object { name: name.to_owned(), version, value: Some(value) };
             (Status::Ok, Json(object_json(&object)))
         }
-        Err(Error::Conflict { .. }) => match platform.store.get(kind, name).await {
-            Ok(Some(object)) => (Status::Conflict, Json(object_json(&object))),
-            _ => empty_response(Status::NotFound),
-        },
+        Err(Error::Conflict { .. }) => conflict(platform, kind, name).await,
         Err(Error::TooLarge { .. }) => empty_response(Status::PayloadTooLarge),
         Err(Error::Unavailable { .. } | Error::HistoryExpired { .. }) => {
             empty_response(Status::ServiceUnavailable)
@@ -284,10 +289,24 @@
     }
 }
 
-#[delete("/objects/<kind>/<name>")]
-async fn remove(platform: &State<Arc<Platform>>, kind: &str, name: &str) -> Result<(), Status> {
-    platform.admit(true).await?;
-    platform.store.delete(kind, name).await.map_err(|_| Status::InternalServerError)
+#[delete("/objects/<kind>/<name>?<revision>")]
+async fn remove(
+    platform: &State<Arc<Platform>>,
+    kind: &str,
+    name: &str,
+    revision: Option<u64>,
+) -> Response {
+    if let Err(refused) = platform.admit(true).await {
+        return empty_response(refused);
+    }
+    let era = platform.store.version().era;
+    let expect =
+        revision.map_or(Expect::Any, |revision| Expect::Version(Version { era, revision }));
+    match platform.store.delete(kind, name, expect).await {
+        Ok(()) => empty_response(Status::Ok),
+        Err(Error::Conflict { .. }) => conflict(platform, kind, name).await,
+        Err(_) => empty_response(Status::InternalServerError),
+    }
 }
 
 /// Largest number of objects in a page of a list.
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -280,7 +280,7 @@
             match value {
                 Some(value) => self.put(&kind, &name, &value).await,
                 None => {
-                    let removed = self.platform.store.delete(&kind, &name).await;
+                    let removed = self.platform.store.delete(&kind, &name, Expect::Any).await;
                     removed.expect("the in-memory store accepts a removal");
                 }
             }
@@ -387,7 +387,7 @@
 async fn remove(platform: &Platform, written: &Mutex<Written>, kind: &str, name: &str) {
     let key = (kind.to_owned(), name.to_owned());
     written.lock().expect("no panic under the lock").insert(key, None);
-    let removed = platform.store.delete(kind, name).await;
+    let removed = platform.store.delete(kind, name, Expect::Any).await;
     removed.expect("the in-memory store accepts a removal");
 }
 
