Gateway: streams that are taken up are not refused by admission

Callers that took a stream up in an overload were refused with a share of the new requests, again and again until their deadline, though most of the work had been done.

Admission refuses work before any of it is done; a stream with a record was admitted when it began, and one that the gateway continues by itself has never been subject to admission. Streams without a record, which go on by the proof that there is one version, still are, so that nobody evades it by claiming to take something up.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -146,11 +146,14 @@
     }
 
     /// Admission control: refuses a share of the requests, before any work is done, when too many wait for their
-    /// stages.
+    /// stages. Streams with a record go on in any case: their work was admitted when they began.
     ///
     /// # Errors
     /// A refusal.
     pub(crate) fn admit(&self) -> Result<(), Failure> {
+        if self.begun.as_ref().is_some_and(continuation::Begun::is_recorded) {
+            return Ok(());
+        }
         let estimates = self.stage_runner(self.arrived).estimate_first_event(&self.shared);
         let Some((expected_latency, unloaded_latency)) = estimates else { return Ok(()) };
         let probability = admission::refusal_probability(
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -30,6 +30,13 @@
     origin: Option<Origin>,
 }
 
+impl Begun {
+    /// Returns whether there is a record of the stream.
+    pub(super) fn is_recorded(&self) -> bool {
+        self.origin.is_some()
+    }
+}
+
 impl<D: Dialect, S: Store> Attempts<D, S> {
     /// Returns whether the request takes up a stream.
     fn is_taken_up(&self) -> bool {
