Gateway: keep the software versions that may have begun streams in the store

After all gateways were lost, a stream of a pool that had always had one version was refused until the gateways had seen the list of targets for 17 s (three timeouts of the route and 5 s), though nothing could be mixed: their history of versions was lost with their memory.

The store now has the set of versions by pool. Whoever reads a list of targets from the store adds its versions with a conditional write before the list is used or passed on. So the set, read after a stream was taken up, proves that there was one version, without a look at lists or their age: a gateway whose list is some seconds old proves nothing wrong any more. Only while the set is incomplete or the store cannot be read does the history of versions decide as before, and now all gateways that are asked have to agree. The set is complete from the first start of the system; after an upgrade, or a restore of the store, when a watcher has seen the list for as long as streams live. A version leaves in two steps, a mark and, when the same mark was seen for the life of a stream and 10 s, its removal.

A model of this found, before it was written, that removal 10 s after the mark goes wrong, that a mark needs a number, and that one object for all eras of the store can be overwritten by a write of an earlier era. The kind `versions` is refused by the users' store with 403, hence `stream-versions`.

If the store refuses writes for 0.5 s while a new version appears, the list is used all the same.

--- a/crates/core/src/stream_origin.rs
+++ b/crates/core/src/stream_origin.rs
@@ -2,8 +2,9 @@
 //! on only at the version that began it.
 
 pub mod stored;
+pub mod version_set;
 
-use std::collections::{BTreeMap, HashMap, hash_map};
+use std::collections::{BTreeMap, BTreeSet, HashMap, hash_map};
 use std::time::Duration;
 
 use marigold_schema::messages::StreamOrigin;
@@ -179,6 +180,9 @@
 
 type Versions = BTreeMap<SoftwareVersion, Listing>;
 
+/// A pool, and a software version of its targets.
+pub type PoolVersion = (Name, SoftwareVersion);
+
 /// Versions that a gateway has seen in the list of targets, to prove that a pool has had only one.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -229,11 +233,47 @@
         listing.left_at.is_none().then_some(listing.since)
     }
 
+    /// Returns whether targets of a pool with a version are listed.
+    pub fn is_listed(&self, pool: &str, version: &str) -> bool {
+        self.listed_since(pool, version).is_some()
+    }
+
     /// Records that changes of the list may have been missed before now.
     pub fn on_gap(&mut self, now: Uptime) {
         self.known_since = Some(now);
     }
 
+    /// Adds the versions that had targets before this history began, or before its last gap. Those that are not listed are
+    /// taken to have left now.
+    pub fn restore<'a>(
+        &mut self,
+        versions: impl Iterator<Item = (&'a Name, &'a SoftwareVersion)>,
+        now: Uptime,
+    ) {
+        if self.known_since.is_none() {
+            return;
+        }
+        for (pool, version) in versions {
+            let listing = Listing { since: now, left_at: Some(now) };
+            self.pools.entry(pool.clone()).or_default().entry(version.clone()).or_insert(listing);
+        }
+        self.known_since = Some(Uptime::ZERO);
+    }
+
+    /// Returns the versions by pool that had targets in the last `window`, or `None` if that is not known for all of it.
+    pub fn recent(&self, now: Uptime, window: Duration) -> Option<BTreeSet<PoolVersion>> {
+        if self.known_since? + window > now {
+            return None;
+        }
+        let of_pool = |(pool, versions): (&Name, &Versions)| -> Vec<PoolVersion> {
+            let recent = versions.iter().filter(|(_, listing)| {
+                listing.left_at.is_none_or(|left_at| left_at + window > now)
+            });
+            recent.map(|(version, _)| (pool.clone(), version.clone())).collect()
+        };
+        Some(self.pools.iter().flat_map(of_pool).collect())
+    }
+
     /// Returns the version of a pool if it has had no other in the last `window`.
     pub fn only_version(
         &self,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -15,6 +15,7 @@
 use crate::batcher;
 use crate::dialect::Dialect;
 use crate::origins;
+use crate::origins::versions;
 use crate::shared::Shared;
 
 /// Kind of the objects in which gateways register their addresses.
@@ -59,7 +60,13 @@
 
     /// Applies changes after the version `after` that were requested at `sent`; without a version they are a full list of
     /// the objects of the kind.
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime);
+    fn apply(
+        &self,
+        shared: &Arc<Shared<D, S>>,
+        changes: Changes,
+        after: Version,
+        sent: Uptime,
+    ) -> impl Future<Output = ()> + Send;
 
     /// Returns the version from which the next call goes on, if changes after `after` may have come from other gateways.
     fn position(&self, _shared: &Shared<D, S>, after: Version) -> Version {
@@ -135,7 +142,7 @@
                     (false, true) => LastRead::NoChanges,
                 };
                 let before = std::mem::replace(&mut after, changes.version);
-                handler.apply(&shared, changes, before, sent);
+                handler.apply(&shared, changes, before, sent).await;
             }
             Err(Error::HistoryExpired { .. }) => {
                 shared.record_store_answer(F::KIND, boottime::now());
@@ -187,7 +194,13 @@
         }
     }
 
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, _after: Version, sent: Uptime) {
+    async fn apply(
+        &self,
+        shared: &Arc<Shared<D, S>>,
+        changes: Changes,
+        _after: Version,
+        sent: Uptime,
+    ) {
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
             match &object.value {
                 Some(text) => {
@@ -236,8 +249,16 @@
         shared.target_changes.lock().version()
     }
 
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime) {
-        apply_target_changes(shared, &changes.parse(read_target::<D>), after, sent);
+    async fn apply(
+        &self,
+        shared: &Arc<Shared<D, S>>,
+        changes: Changes,
+        after: Version,
+        sent: Uptime,
+    ) {
+        let changes = changes.parse(read_target::<D>);
+        versions::add(shared, &changes).await;
+        apply_target_changes(shared, &changes, after, sent);
     }
 }
 
@@ -377,7 +398,13 @@
         time::sleep(delay).await;
     }
 
-    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, _sent: Uptime) {
+    async fn apply(
+        &self,
+        shared: &Arc<Shared<D, S>>,
+        changes: Changes,
+        after: Version,
+        _sent: Uptime,
+    ) {
         if after.is_none() {
             // A store that was restored from an older copy may have lost the entries of gateways that answer.
             for member in shared.members.others().iter().filter(|member| !member.is_alive()) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -70,6 +70,7 @@
         tokio::spawn(stage_runner::release_forever(shared.clone()));
         tokio::spawn(origins::stored::run(shared.clone()));
         tokio::spawn(origins::stored::inherit_forever(shared.clone()));
+        tokio::spawn(origins::versions::maintain_forever(shared.clone()));
         tracing::info!(name = settings.name, incarnation = shared.incarnation, callers = %callers.addr(), "gateway started");
         Ok(Self { shared, callers, _readiness: readiness, _metrics: metrics, _links: links, close })
     }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -7,6 +7,7 @@
 //! with a current list of targets know it.
 
 pub(crate) mod stored;
+pub(crate) mod versions;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +17,7 @@
 use futures::stream::FuturesUnordered;
 use marigold_core::digest;
 use marigold_core::ids::{SoftwareVersion, Uptime};
+use marigold_core::stream_origin::version_set::Proof;
 use marigold_core::stream_origin::{self, Origin, OriginTable, Record};
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -182,7 +184,8 @@
     Unknown { asked: usize, answered: usize },
 }
 
-/// Finds out where a stream began: from the own records, from those of others, or because its pool had one version only.
+/// Finds out where a stream began: from the own records, from those of others, or because its pool had one version only
+/// according to the store.
 pub(crate) async fn find<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     stream: TakenUp<'_>,
@@ -198,35 +201,43 @@
 }
 
 async fn find_once<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, stream: TakenUp<'_>) -> Found {
-    let own_version = || stream.pool.and_then(|pool| only_version(shared, pool, stream.window));
-    let Some(resumes) = stream.resumes else {
-        let unknown = Found::Unknown { asked: 0, answered: 0 };
-        return own_version().map_or(unknown, Found::Version);
-    };
-    let key = stream_origin::key(stream.customer, resumes);
-    let own = shared.origins.table.lock().get(key, boottime::now()).cloned();
+    let key = stream.resumes.map(|resumes| stream_origin::key(stream.customer, resumes));
+    let own = key.and_then(|key| shared.origins.table.lock().get(key, boottime::now()).cloned());
     if let Some(record) = own {
         return Found::Origin(record.origin);
     }
     let query = OriginQuery {
-        key: digest::to_wire(key),
+        key: key.map(digest::to_wire).unwrap_or_default(),
         pool: stream.pool.map(str::to_owned),
         window_ms: stream.window.as_millis() as u64,
     };
     let asked = shared.members.ranked(&query.key, ASKED, false);
     let mut answers: FuturesUnordered<_> = asked.iter().map(|member| ask(member, &query)).collect();
-    let mut version_of_others = None;
-    let mut answered = 0;
+    let mut versions_of_others = Vec::new();
     while let Some(answer) = answers.next().await {
         let Some(answer) = answer else { continue };
-        answered += 1;
         if let Some(origin) = answer.origin {
             return Found::Origin(Origin::from(origin));
         }
-        version_of_others = version_of_others.or(answer.only_version);
+        versions_of_others.push(answer.only_version);
+    }
+    let (asked, answered) = (asked.len(), versions_of_others.len());
+    let unknown = Found::Unknown { asked, answered };
+    let Some(pool) = stream.pool else { return unknown };
+    let proof = time::timeout(QUERY_TIMEOUT, versions::prove(shared, pool)).await;
+    match proof {
+        Ok(Ok(Proof::Only(version))) => Found::Version(version),
+        Ok(Ok(Proof::Several)) => unknown,
+        // The set does not help, or the store cannot be read; then all that are asked have to know that there was one
+        // version. One that is cut off may have missed another.
+        Ok(Ok(Proof::Incomplete) | Err(_)) | Err(_) => {
+            let mut versions = versions_of_others.into_iter();
+            let own = only_version(shared, pool, stream.window);
+            let first = own.or_else(|| versions.clone().next().flatten());
+            let is_agreed = answered == asked && versions.all(|version| version == first);
+            first.filter(|_| is_agreed).map_or(unknown, Found::Version)
+        }
     }
-    let unknown = Found::Unknown { asked: asked.len(), answered };
-    own_version().or(version_of_others).map_or(unknown, Found::Version)
 }
 
 async fn ask(member: &Member, query: &OriginQuery) -> Option<OriginAnswer> {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,6 +29,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::origins::Origins;
+use crate::origins::versions::Versions;
 use crate::poison::Poison;
 use crate::request;
 use crate::stage_runner::ReleaseQueue;
@@ -66,6 +67,7 @@
     pub(crate) poison: Poison,
     pub(crate) members: Members,
     pub(crate) origins: Origins,
+    pub(crate) versions: Versions,
     pub(crate) batcher: Batcher,
     pub(crate) release_queue: ReleaseQueue,
     pub(crate) durations: LearnedDurations,
@@ -120,6 +122,7 @@
             poison: Poison::default(),
             members,
             origins: Origins::default(),
+            versions: Versions::default(),
             batcher: Batcher::default(),
             release_queue: ReleaseQueue::default(),
             durations: LearnedDurations::default(),
@@ -228,10 +231,15 @@
     /// Software versions may have come and gone unseen between two readings of the list that are far apart.
     fn check_targets_gap(&self, before: Option<Uptime>, now: Uptime) {
         if before.is_some_and(|at| now > at + targets::MAX_LIST_AGE) {
-            self.targets.on_gap(now);
+            self.on_targets_gap(now);
         }
     }
 
+    fn on_targets_gap(&self, now: Uptime) {
+        self.targets.on_gap(now);
+        self.versions.on_gap();
+    }
+
     /// Returns whether the list of targets was read recently enough to tell the software versions of targets.
     pub(crate) fn has_current_targets(&self, now: Uptime) -> bool {
         let read_at = self.store_answers.lock().get(D::TARGET_KIND).copied();
@@ -264,7 +272,7 @@
         } else {
             tracing::warn!(era = era.era, before = era_before, "era of the store fell");
         }
-        self.targets.on_gap(now);
+        self.on_targets_gap(now);
         self.has_unread_restore.store(true, Ordering::Relaxed);
         self.store_era.send_replace(StoreEra { restored_at: Some(now), ..era });
     }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,6 +1,6 @@
 //! Targets by pool, with the load of each.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,8 @@
 use arc_swap::ArcSwap;
 use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::router::{Candidate, Load};
-use marigold_core::stream_origin::{Origin, VersionHistory};
+use marigold_core::stream_origin::version_set::VersionSet;
+use marigold_core::stream_origin::{Origin, PoolVersion, VersionHistory};
 use marigold_core::target_hold::TargetHold;
 use marigold_core::targets::{Target, TargetList};
 use marigold_core::{placement, targets};
@@ -81,6 +82,25 @@
         self.versions.lock().only_version(pool, now, window).cloned()
     }
 
+    /// Returns whether targets of a pool with a software version are listed.
+    pub(crate) fn is_version_listed(&self, pool: &str, version: &str) -> bool {
+        self.versions.lock().is_listed(pool, version)
+    }
+
+    /// Adds the versions of a set that lacks none to the history.
+    pub(crate) fn restore_history(&self, set: &VersionSet, now: Uptime) {
+        self.versions.lock().restore(set.iter(), now);
+    }
+
+    /// Returns the versions that had targets in the last `window`, or `None` if that is not known for all of it.
+    pub(crate) fn recent_versions(
+        &self,
+        now: Uptime,
+        window: Duration,
+    ) -> Option<BTreeSet<PoolVersion>> {
+        self.versions.lock().recent(now, window)
+    }
+
     /// Records that a target has said in a reply that it leaves; returns whether that is new.
     pub(crate) fn announce_leaving(&self, target: &Target, now: Uptime) -> bool {
         // Each of its replies says so, and an update is not cheap.
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -3170,6 +3170,77 @@
     pub origins: ::std::vec::Vec<StoredOrigin>,
     pub streams: ::std::vec::Vec<StoredStream>,
 }
+///Software version that may have begun streams which are still awaited.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Software version that may have begun streams which are still awaited.",
+///  "type": "object",
+///  "required": [
+///    "version"
+///  ],
+///  "properties": {
+///    "mark": {
+///      "description": "Set when no target seems to have the version any more: the revision of the list of versions that was read for it.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "version": {
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoredVersion {
+    ///Set when no target seems to have the version any more: the revision of the list of versions that was read for it.
+    #[serde(default)]
+    pub mark: ::std::option::Option<u64>,
+    pub version: ::std::string::String,
+}
+///Software versions by pool, as kept in the store, one object for each of its eras.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Software versions by pool, as kept in the store, one object for each of its eras.",
+///  "type": "object",
+///  "required": [
+///    "pools"
+///  ],
+///  "properties": {
+///    "complete": {
+///      "description": "Whether no version is missing.",
+///      "default": false,
+///      "type": "boolean"
+///    },
+///    "pools": {
+///      "type": "object",
+///      "additionalProperties": {
+///        "type": "array",
+///        "items": {
+///          "$ref": "#/definitions/StoredVersion"
+///        }
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoredVersions {
+    ///Whether no version is missing.
+    #[serde(default)]
+    pub complete: bool,
+    pub pools: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::vec::Vec<StoredVersion>,
+    >,
+}
 ///Record of the target that wrote the first event of a stream.
 ///
 /// <details><summary>JSON schema</summary>
