--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -23,6 +23,9 @@
 /// API key of the only customer.
 pub const API_KEY: &str = "key-1";
 
+/// Secret of the links between gateways.
+const LINK_SECRET: &str = "secret";
+
 /// Software version of the replicas.
 const DEFAULT_VERSION: &str = "v1";
 
@@ -146,7 +149,7 @@
             cluster.stage_replicas.push(stage_replica);
         }
         for number in 0..gateways {
-            let gateway = cluster.spawn_gateway(number, addr).await;
+            let gateway = cluster.spawn_gateway(number, addr, LINK_SECRET).await;
             cluster.gateways.push(gateway);
         }
         for number in 0..gateways {
@@ -267,7 +270,15 @@
     /// Starts another gateway and waits until it is ready.
     pub async fn add_gateway(&mut self) {
         let number = self.gateways.len();
-        let gateway = self.spawn_gateway(number, self.store_addr).await;
+        let gateway = self.spawn_gateway(number, self.store_addr, LINK_SECRET).await;
+        self.gateways.push(gateway);
+        self.wait_ready(number, true).await;
+    }
+
+    /// Starts another gateway that is cut off from the others: it and they refuse each other's links. It reaches the store.
+    pub async fn add_gateway_without_links(&mut self) {
+        let number = self.gateways.len();
+        let gateway = self.spawn_gateway(number, self.store_addr, "another secret").await;
         self.gateways.push(gateway);
         self.wait_ready(number, true).await;
     }
@@ -287,7 +298,12 @@
         }
     }
 
-    async fn spawn_gateway(&self, number: usize, store_addr: SocketAddr) -> Gateway {
+    async fn spawn_gateway(
+        &self,
+        number: usize,
+        store_addr: SocketAddr,
+        link_secret: &str,
+    ) -> Gateway {
         let name = format!("gateway-{number}");
         let [addr, ready_addr, link_addr, metrics_addr] =
             std::array::from_fn(|_| process::free_addr());
@@ -296,7 +312,7 @@
         let text = format!(
             "cluster = \"test\"\nname = \"{name}\"\ndata_centre = \"north\"\ncallers_address = \"{addr}\"\n\
              ready_address = \"{ready_addr}\"\nlink_address = \"{link_addr}\"\nmetrics_address = \"{metrics_addr}\"\n\
-             store = \"{}\"\nlink_secret = \"secret\"\nweight = 0.2\nchange_bound_ms = 2000\nrevocation_ms = 5000\n\
+             store = \"{}\"\nlink_secret = \"{link_secret}\"\nweight = 0.2\nchange_bound_ms = 2000\nrevocation_ms = 5000\n\
              lapse_ms = 2200\nstop_s = 8\nretry_ratio = 0.2\nretry_window_s = 10.0\nretry_reserve = 60.0\n",
             store_relay.addr(),
         );
