Gateway: a process that has just started uses less of the retry budget

Targets of a pool got more repeats in one window than the budget allows when all gateways lost power in it: each had used its part of the reserve, had lost its count, and used it once more.

The four tenths of the reserve that gateways don't use were meant for restarts, and cover those of single gateways. Two losses of all within one window can still exceed the budget by four tenths of the reserve.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -39,8 +39,8 @@
     }
 }
 
-/// Share of the reserve that gateways use. The rest covers restarts, since a restarted gateway has lost its count of
-/// recent retries.
+/// Share of the reserve that gateways use. The rest is for those that have started within the window, since they have lost
+/// their counts of recent retries, and may all have done so at once.
 const RESERVE_SHARE: f64 = 0.6;
 
 /// Limit on the retries of all gateways together in any window.
@@ -54,6 +54,13 @@
     pub window: Duration,
 }
 
+impl WindowLimit {
+    /// Returns the limit for a gateway that may have made retries within the window in an earlier process.
+    pub fn after_restart(self) -> Self {
+        Self { reserve: self.reserve * (1.0 - RESERVE_SHARE) / RESERVE_SHARE, ..self }
+    }
+}
+
 /// One gateway's share of a [`WindowLimit`], as a sliding window.
 #[derive(Debug, Default)]
 pub struct WindowBudget {
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -26,6 +26,18 @@
     assert_eq!(at(12), first);
 }
 
+/// Gateways that had all lost their counts spent the reserve a second time.
+#[test]
+fn withdraw_all_restarted_within_the_reserve() {
+    let retries = |limit: &WindowLimit| {
+        let mut budget = WindowBudget::default();
+        (0..100).filter(|_| budget.withdraw(Duration::from_secs(1), limit, 4)).count()
+    };
+    let restarted = retries(&LIMIT.after_restart());
+    assert!(restarted > 0);
+    assert!(4 * (retries(&LIMIT) + restarted) <= 56);
+}
+
 proptest! {
     /// For any sequence of requests and retries, no window contains more retries than the limit for all gateways.
     #[test]
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -56,6 +56,7 @@
 pub(crate) struct Shared<D, S> {
     settings: ArcSwap<GatewaySettings>,
     pub(crate) incarnation: u64,
+    started: Uptime,
     pub(crate) store: S,
     pub(crate) adopted: ArcSwapOption<AdoptedConfig>,
     pub(crate) freshness: Mutex<Freshness>,
@@ -112,6 +113,7 @@
         Self {
             settings: ArcSwap::from_pointee(settings),
             incarnation: marigold_process::uptime::wall_clock_ms(),
+            started: boottime::now(),
             store,
             adopted: ArcSwapOption::empty(),
             freshness: Mutex::default(),
@@ -374,25 +376,28 @@
         self.is_reading_targets.store(false, Ordering::Relaxed);
     }
 
-    fn retry_limit(&self) -> WindowLimit {
+    fn retry_limit(&self, now: Uptime) -> WindowLimit {
         let settings = self.settings();
-        WindowLimit {
+        let limit = WindowLimit {
             ratio: settings.retry_ratio,
             reserve: settings.retry_reserve,
             window: Duration::from_secs_f64(settings.retry_window_s),
-        }
+        };
+        if now < self.started + limit.window { limit.after_restart() } else { limit }
     }
 
     /// Counts a request for a pool in its retry budget.
     pub(crate) fn count_request(&self, pool: &str) {
-        let (now, limit) = (boottime::now(), self.retry_limit());
+        let now = boottime::now();
+        let limit = self.retry_limit(now);
         let mut budgets = self.budgets.lock();
         budgets.entry(pool.to_owned()).or_default().on_request(now, &limit);
     }
 
     /// Withdraws one retry from a pool's budget; returns false when it is exhausted.
     pub(crate) fn withdraw_retry(&self, pool: &str) -> bool {
-        let (now, limit) = (boottime::now(), self.retry_limit());
+        let now = boottime::now();
+        let limit = self.retry_limit(now);
         let gateways = self.members.alive_count();
         let mut budgets = self.budgets.lock();
         budgets.entry(pool.to_owned()).or_default().withdraw(now, &limit, gateways)
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -332,6 +332,23 @@
         self.gateways[number].process = self.start_process(&format!("gateway-{number}"), &settings);
     }
 
+    /// Kills all gateways at once, as a loss of power does, and with them all that they keep for each other in memory.
+    pub fn kill_all(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.process.kill();
+        }
+    }
+
+    /// Starts all gateways again and waits until they are ready.
+    pub async fn restart_all(&mut self) {
+        for number in 0..self.gateways.len() {
+            self.restart(number);
+        }
+        for number in 0..self.gateways.len() {
+            self.wait_ready(number, true).await;
+        }
+    }
+
     /// Waits until a gateway accepts connections from callers.
     pub async fn wait_listening(&self, number: usize) {
         let started = Instant::now();
