Store: an object that cannot be read costs only itself

Another program wrote an object with bytes that are no UTF-8. The client read a page of a list, or the events of a watch, as one piece of JSON, so each call failed (`reading the answer: invalid unicode code point`) and was repeated for ever: a removed target was used on, a new one was not, changes of the configuration were not seen, gateways did not find each other, and one that started was not ready. The same held for control characters, invalid escapes, words that are no JSON, and names or revisions of another type.

Those that cannot be read are told apart in `Changes`: for the list of targets they count as removed, the configuration in force and the other gateways stay. Each is logged once with its name, and its versions are counted (`marigold_odd_objects`).

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -14,6 +14,7 @@
 
 use crate::batcher;
 use crate::dialect::Dialect;
+use crate::odd_objects;
 use crate::origins;
 use crate::origins::versions;
 use crate::shared::Shared;
@@ -141,6 +142,10 @@
                     (false, false) => LastRead::Changes,
                     (false, true) => LastRead::NoChanges,
                 };
+                for odd in &changes.unreadable {
+                    let name = odd.name.as_deref();
+                    odd_objects::report(&shared, F::KIND, name, odd.version, &odd.reason);
+                }
                 let before = std::mem::replace(&mut after, changes.version);
                 handler.apply(&shared, changes, before, sent).await;
             }
@@ -256,7 +261,7 @@
         after: Version,
         sent: Uptime,
     ) {
-        let changes = changes.parse(read_target::<D>);
+        let changes = changes.parse(|object| read_target(shared, object));
         versions::add(shared, &changes).await;
         apply_target_changes(shared, &changes, after, sent);
     }
@@ -368,12 +373,13 @@
 }
 
 /// Returns the target that an object describes, or `None` if the object was removed or is invalid.
-fn read_target<D: Dialect>(object: &Object) -> Option<Target> {
+fn read_target<D: Dialect, S>(shared: &Shared<D, S>, object: &Object) -> Option<Target> {
     let text = object.value.as_ref()?;
     match D::parse_target(&object.name, text) {
         Ok(target) => Some(target),
         Err(err) => {
-            tracing::warn!(object = object.name, %err, "invalid target object skipped");
+            let Object { name, version, .. } = object;
+            odd_objects::report(shared, D::TARGET_KIND, Some(name), *version, err);
             None
         }
     }
@@ -408,7 +414,11 @@
         if after.is_none() {
             // A store that was restored from an older copy may have lost the entries of gateways that answer.
             for member in shared.members.others().iter().filter(|member| !member.is_alive()) {
-                if !changes.objects.iter().any(|object| object.name == member.name) {
+                let is_unreadable =
+                    changes.unreadable.iter().any(|odd| odd.name.as_ref() == Some(&member.name));
+                if !is_unreadable
+                    && !changes.objects.iter().any(|object| object.name == member.name)
+                {
                     shared.members.remove(&member.name);
                 }
             }
@@ -422,7 +432,8 @@
             match entry {
                 Ok(entry) => shared.members.put(object.name, &entry),
                 Err(err) => {
-                    tracing::warn!(member = object.name, %err, "invalid entry of gateway")
+                    let (name, version) = (Some(object.name.as_str()), object.version);
+                    odd_objects::report(shared, MEMBER_KIND, name, version, err);
                 }
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod members;
 mod metrics;
+mod odd_objects;
 mod origins;
 mod peers;
 mod poison;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
     pub(crate) stage_pieces: Counter<u64>,
     pub(crate) retries: Counter<u64>,
     pub(crate) store_failures: Counter<u64>,
+    pub(crate) odd_objects: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
     pub(crate) store_era: Gauge<u64>,
@@ -51,6 +52,10 @@
             stage_pieces: counter("marigold_stage_pieces", "Pieces sent by pool"),
             retries: counter("marigold_retries", "Requests sent to another target, by reason"),
             store_failures: counter("marigold_store_failures", "Failed calls to the store by kind"),
+            odd_objects: counter(
+                "marigold_odd_objects",
+                "Versions of objects in the store that could not be read, by kind",
+            ),
             store_answer_age: meter
                 .f64_gauge("marigold_store_answer_age_seconds")
                 .with_unit("s")
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::limits::Limits;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::odd_objects::OddObjects;
 use crate::origins::Origins;
 use crate::origins::versions::Versions;
 use crate::poison::Poison;
@@ -73,6 +74,7 @@
     pub(crate) release_queue: ReleaseQueue,
     pub(crate) durations: LearnedDurations,
     pub(crate) metrics: Metrics,
+    pub(crate) odd_objects: OddObjects,
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: watch::Sender<bool>,
@@ -129,6 +131,7 @@
             release_queue: ReleaseQueue::default(),
             durations: LearnedDurations::default(),
             metrics,
+            odd_objects: OddObjects::default(),
             stopping: watch::Sender::new(false),
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
--- a/crates/gateway/src/target_relay.rs
+++ b/crates/gateway/src/target_relay.rs
@@ -91,7 +91,8 @@
         Ok(Object { name: object.name, version, value: target.transpose()? })
     };
     let objects = objects.into_iter().map(convert).collect::<Result<_, _>>()?;
-    let changes = Changes { version: from_message(&state.version), objects };
+    let version = from_message(&state.version);
+    let changes = Changes { version, objects, unreadable: Vec::new() };
     Ok((changes, verified_at(state, sent)))
 }
 
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -7,6 +7,6 @@
 pub mod store;
 
 pub use error::{Error, Result};
-pub use object::{Changes, Expect, Object, VM_KIND, Version, Vm, VmState};
+pub use object::{Changes, Expect, Object, Unreadable, VM_KIND, Version, Vm, VmState};
 pub use recent::RecentChanges;
 pub use store::{Store, put_verified};
--- a/crates/objects/src/memory.rs
+++ b/crates/objects/src/memory.rs
@@ -74,6 +74,7 @@
         Changes {
             version: inner.version,
             objects: of_kind.map(|(_, object)| object.clone()).collect(),
+            unreadable: Vec::new(),
         }
     }
 
--- a/crates/objects/src/object.rs
+++ b/crates/objects/src/object.rs
@@ -45,6 +45,17 @@
     pub value: Option<T>,
 }
 
+/// Object that cannot be read; another program may have written it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unreadable {
+    /// Name, if that can be read.
+    pub name: Option<String>,
+    /// Version of the last write; none if it cannot be read.
+    pub version: Version,
+    /// What cannot be read.
+    pub reason: String,
+}
+
 /// Changed objects of a kind, and the version of the store that they reflect.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes<T = String> {
@@ -52,17 +63,28 @@
     pub version: Version,
     /// Changed objects.
     pub objects: Vec<Object<T>>,
+    /// Changed objects that cannot be read.
+    pub unreadable: Vec<Unreadable>,
 }
 
 impl<T> Changes<T> {
-    /// Converts the values with `parse`. An object for which it returns `None` is treated as deleted.
+    /// Converts the values with `parse`. An object for which it returns `None` is treated as deleted, and so is one that
+    /// cannot be read.
     pub fn parse<U>(self, parse: impl Fn(&Object<T>) -> Option<U>) -> Changes<U> {
         let convert = |object: Object<T>| {
             let value = parse(&object);
             Object { name: object.name, version: object.version, value }
         };
-        let objects = self.objects.into_iter().map(convert).collect();
-        Changes { version: self.version, objects }
+        let as_deleted = |unreadable: Unreadable| {
+            let Unreadable { name, version, .. } = unreadable;
+            name.map(|name| Object { name, version, value: None })
+        };
+        let deleted = self.unreadable.into_iter().filter_map(as_deleted);
+        let mut objects: Vec<Object<U>> = self.objects.into_iter().map(convert).collect();
+        objects.extend(deleted);
+        // An object may have changed more than once.
+        objects.sort_by_key(|object| object.version);
+        Changes { version: self.version, objects, unreadable: Vec::new() }
     }
 }
 
--- a/crates/objects/src/recent.rs
+++ b/crates/objects/src/recent.rs
@@ -102,6 +102,6 @@
         }
         let newer = self.batches.iter().filter(|batch| batch.version > after);
         let objects = newer.flat_map(|batch| batch.objects.iter().cloned()).collect();
-        Some(Changes { version: self.version, objects })
+        Some(Changes { version: self.version, objects, unreadable: Vec::new() })
     }
 }
--- a/crates/objects/tests/recent.rs
+++ b/crates/objects/tests/recent.rs
@@ -18,7 +18,8 @@
         version: version(revision),
         value: Some(String::new()),
     };
-    Changes { version: version(revision), objects: names.iter().map(object).collect() }
+    let objects = names.iter().map(object).collect();
+    Changes { version: version(revision), objects, unreadable: Vec::new() }
 }
 
 fn recent() -> RecentChanges<String> {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform: its object store over HTTP, a delayed VM list, rate limits and outages.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +10,7 @@
 use marigold_process::http::Server;
 use parking_lot::Mutex;
 use rocket::fairing::AdHoc;
-use rocket::http::Status;
+use rocket::http::{ContentType, Status};
 use rocket::serde::json::Json;
 use rocket::{State, delete, get, post, put, routes};
 use serde::{Deserialize, Serialize};
@@ -67,6 +68,9 @@
     pub peak_per_s: u64,
 }
 
+/// Begin of a value, as JSON, in place of which raw bytes are sent.
+const RAW_SPEC: &str = "\"raw spec ";
+
 /// Token bucket that holds the tokens of one second at most.
 struct TokenBucket {
     tokens: f64,
@@ -104,9 +108,42 @@
     write_limit: Mutex<TokenBucket>,
     started: Instant,
     vm_lag: Duration,
+    /// Bytes that lists and watches contain in place of a stored value, by that value.
+    raw_specs: Mutex<HashMap<String, Vec<u8>>>,
 }
 
 impl Platform {
+    /// Writes an object whose `spec` is `raw` in lists and watches, which need not be JSON.
+    pub async fn put_raw(&self, kind: &str, name: &str, raw: &[u8]) {
+        let placeholder = {
+            let mut raw_specs = self.raw_specs.lock();
+            let placeholder = format!("{RAW_SPEC}{}\"", raw_specs.len());
+            raw_specs.insert(placeholder.clone(), raw.to_vec());
+            placeholder
+        };
+        let put = self.store.put(kind, name, placeholder, Expect::Any).await;
+        put.expect("the in-memory store accepts a small object");
+    }
+
+    /// Returns a response with the raw bytes of objects in the places of their values.
+    fn to_bytes(&self, response: &Value) -> Vec<u8> {
+        let raw_specs = self.raw_specs.lock();
+        let text = response.to_string();
+        let (mut rest, mut bytes) = (text.as_str(), Vec::new());
+        while let Some(at) = rest.find(RAW_SPEC) {
+            let (before, placeholder) = rest.split_at(at);
+            let length =
+                RAW_SPEC.len() + placeholder[RAW_SPEC.len()..].find('"').map_or(0, |at| at + 1);
+            let (placeholder, after) = placeholder.split_at(length);
+            let raw = raw_specs.get(placeholder).map_or(placeholder.as_bytes(), Vec::as_slice);
+            bytes.extend_from_slice(before.as_bytes());
+            bytes.extend_from_slice(raw);
+            rest = after;
+        }
+        bytes.extend_from_slice(rest.as_bytes());
+        bytes
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: Faults) {
         if faults.forget_history {
@@ -320,12 +357,10 @@
     after: Option<&str>,
     watch: Option<u64>,
     waitMs: Option<u64>,
-) -> Response {
-    if let Err(refused) = platform.admit(false).await {
-        return empty_response(refused);
-    }
+) -> Result<(ContentType, Vec<u8>), Status> {
+    platform.admit(false).await?;
     if platform.faults.lock().refused_kind.as_deref() == Some(kind) {
-        return empty_response(Status::ServiceUnavailable);
+        return Err(Status::ServiceUnavailable);
     }
     let wait = Duration::from_millis(waitMs.unwrap_or(0).min(30_000));
     if watch.is_some() {
@@ -336,11 +371,11 @@
     let watched = watch.map_or(Version::default(), |revision| Version { era, revision });
     let changes = match platform.store.watch(kind, watched, wait).await {
         Ok(changes) => changes,
-        Err(Error::HistoryExpired { .. }) => return empty_response(Status::Gone),
-        Err(_) => return empty_response(Status::InternalServerError),
+        Err(Error::HistoryExpired { .. }) => return Err(Status::Gone),
+        Err(_) => return Err(Status::InternalServerError),
     };
     if platform.faults.lock().down {
-        return empty_response(Status::ServiceUnavailable);
+        return Err(Status::ServiceUnavailable);
     }
     let body = if watch.is_some() {
         let event = |object: &Object| json!({ "removed": object.value.is_none(), "object": object_json(object) });
@@ -356,7 +391,7 @@
         items.truncate(PAGE_SIZE);
         json!({ "items": items, "hasMore": has_more, "storeRevision": changes.version.revision })
     };
-    (Status::Ok, Json(body))
+    Ok((ContentType::JSON, platform.to_bytes(&body)))
 }
 
 #[put("/vms", data = "<vms>")]
@@ -388,6 +423,7 @@
         write_limit: Mutex::new(TokenBucket::new(options.writes_per_s)),
         started: Instant::now(),
         vm_lag: Duration::from_millis(options.vm_lag_ms),
+        raw_specs: Mutex::default(),
     });
     let (manages, answers) = (platform.clone(), platform.clone());
     let era = AdHoc::on_response("era of the store", move |_, response| {
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -46,6 +46,8 @@
     pub addr: SocketAddr,
     /// Address of the readiness endpoint.
     pub ready_addr: SocketAddr,
+    /// Address of the metrics.
+    pub metrics_addr: SocketAddr,
     /// Relay between the gateway and the store.
     pub store_relay: Relay,
     settings: PathBuf,
@@ -318,7 +320,7 @@
         );
         std::fs::write(&settings, text).expect("settings are written");
         let process = self.start_process(&name, &settings);
-        Gateway { process, addr, ready_addr, store_relay, settings }
+        Gateway { process, addr, ready_addr, metrics_addr, store_relay, settings }
     }
 
     fn start_process(&self, name: &str, settings: &Path) -> Process {
