--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -1,6 +1,7 @@
 //! Interface to the platform's object service: versioned objects, conditional writes and watches.
 
 pub mod error;
+pub mod json_parts;
 pub mod memory;
 pub mod object;
 pub mod recent;
