Batcher: a stage of more pieces than could ever be run is refused at once

A caller's header that named ten million pieces took 2.4 GB of its gateway, since each piece was queued before the queue found that it could not be served; four thousand million end the process. Stages of more than 10,000 pieces get the same answer as before (503, not run) without a place in the queue, also where another gateway asks.

--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -30,6 +30,8 @@
 const CALL_TIMEOUT_FACTOR: f64 = 4.0;
 /// Addition to the timeout of a call for the network.
 const CALL_TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
+/// Maximum number of pieces of a stage. More would not be done within any deadline, and fill the memory of this process.
+const MAX_PIECES: u32 = 10_000;
 /// Maximum number of calls in which a piece is sent.
 const MAX_TRIES: u8 = 4;
 /// Backoff after a target refused a call because it was busy with calls of others.
@@ -168,7 +170,10 @@
     req: RunStage,
 ) -> StageDone {
     let now = boottime::now();
-    if shared.targets.in_pool(&req.pool).is_empty() || stage_pool(shared, &req.pool).is_none() {
+    if req.pieces > MAX_PIECES
+        || shared.targets.in_pool(&req.pool).is_empty()
+        || stage_pool(shared, &req.pool).is_none()
+    {
         let failure = Some(PieceFailure::Overloaded);
         return StageDone { handles: Vec::new(), age_ms: 0, failure };
     }
