--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -204,9 +204,12 @@
         let input_bytes: u64 = declared
             .after
             .iter()
-            .map(|needed| u64::from(self.pieces(*needed)) * self.route.stages[*needed].result_bytes)
-            .sum();
-        if input_bytes * pieces >= LARGE_TRANSFER_BYTES {
+            .map(|needed| {
+                let result_bytes = self.route.stages[*needed].result_bytes;
+                result_bytes.saturating_mul(self.pieces(*needed).into())
+            })
+            .fold(0, u64::saturating_add);
+        if input_bytes.saturating_mul(pieces) >= LARGE_TRANSFER_BYTES {
             return most_frequent(inputs.iter().filter_map(|handle| {
                 shared
                     .targets
@@ -215,7 +218,7 @@
             }));
         }
         let is_last = self.route.last_stages().any(|last| last == stage);
-        (is_last && declared.result_bytes * pieces >= LARGE_TRANSFER_BYTES)
+        (is_last && declared.result_bytes.saturating_mul(pieces) >= LARGE_TRANSFER_BYTES)
             .then(|| self.target_data_centre.clone())
             .flatten()
     }
