Ownership: an entry with an odd weight changes nothing for the others

A gateway's entry from another program with a negative weight, and a message with one that is no number, left pools without an owner, so that each gateway took pools and limits for its own until the entry did not answer two polls; one that is no number came first among the watchers. Such weights count as zero now, and settled gateways are preferred only if there are any.

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -21,6 +21,13 @@
     pub is_settled: bool,
 }
 
+impl Candidate {
+    /// Returns the weight; zero if it is no number of cores, as in an entry that another program wrote.
+    fn cores(&self) -> f64 {
+        if self.weight.is_finite() { self.weight.max(0.0) } else { 0.0 }
+    }
+}
+
 /// Time for which a restarted gateway is not assigned pools while enough others are settled.
 ///
 /// Each move of a pool loses the calls in progress, and the new owner does not know the load of the targets. Without
@@ -31,9 +38,13 @@
 /// Returns the settled candidates, or all while the settled ones have less than half of the total weight.
 fn eligible(candidates: &[Candidate]) -> Vec<&Candidate> {
     let settled: Vec<&Candidate> = candidates.iter().filter(|c| c.is_settled).collect();
-    let settled_weight: f64 = settled.iter().map(|candidate| candidate.weight).sum();
-    let weight: f64 = candidates.iter().map(|candidate| candidate.weight).sum();
-    if 2.0 * settled_weight >= weight { settled } else { candidates.iter().collect() }
+    let settled_weight: f64 = settled.iter().map(|candidate| candidate.cores()).sum();
+    let weight: f64 = candidates.iter().map(Candidate::cores).sum();
+    if !settled.is_empty() && 2.0 * settled_weight >= weight {
+        settled
+    } else {
+        candidates.iter().collect()
+    }
 }
 
 /// Returns the owner of each pool, by name of the pool.
@@ -48,7 +59,7 @@
     let mut owners = BTreeMap::new();
     for pool in sorted {
         let load = |index: usize| {
-            (assigned[index] + 1.0) / candidates[index].weight.max(f64::MIN_POSITIVE)
+            (assigned[index] + 1.0) / candidates[index].cores().max(f64::MIN_POSITIVE)
         };
         let score = |index: usize| rendezvous::score(pool, &candidates[index].name);
         let order =
@@ -91,7 +102,7 @@
 fn ranked_as_watchers(candidates: &[Candidate]) -> Vec<&Name> {
     let mut ranked: Vec<&Candidate> = candidates.iter().collect();
     let score = |candidate: &Candidate| rendezvous::score(WATCHERS_KEY, &candidate.name);
-    ranked.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(score(b).cmp(&score(a))));
+    ranked.sort_by(|a, b| b.cores().total_cmp(&a.cores()).then(score(b).cmp(&score(a))));
     ranked.into_iter().map(|candidate| &candidate.name).collect()
 }
 
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -154,3 +154,44 @@
         }
     }
 }
+
+/// An entry with a negative weight, as another program may write it, left pools without an owner, and each gateway took them
+/// for its own.
+#[test]
+fn owner_exists_for_any_weights() {
+    let weights = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1e308, -1.0, 0.0, 0.2, 1e308];
+    let pools = ["a".to_owned(), "b".to_owned()];
+    for (odd, settled) in weights.iter().flat_map(|odd| [(*odd, false), (*odd, true)]) {
+        for other in weights {
+            let candidate = |name: &str, weight: f64, is_settled: bool| Candidate {
+                name: name.to_owned(),
+                weight,
+                is_settled,
+            };
+            let candidates = [
+                candidate("odd", odd, settled),
+                candidate("x", other, false),
+                candidate("y", 0.2, false),
+            ];
+            let owners = ownership::owners(&pools, &candidates);
+            assert_eq!(owners.len(), pools.len(), "{odd} {settled} {other}");
+            assert_eq!(ownership::watchers(&candidates).len(), 2, "{odd} {settled} {other}");
+        }
+    }
+}
+
+/// An odd weight must not move the pools of gateways with sound ones.
+#[test]
+fn owner_is_sound_beside_odd_weights() {
+    for odd in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 0.0] {
+        let candidates = [("odd", odd), ("x", 0.2), ("y", 0.4)].map(|(name, weight)| Candidate {
+            name: name.to_owned(),
+            weight,
+            is_settled: true,
+        });
+        let pools: Vec<String> = (0..6).map(|number| format!("pool-{number}")).collect();
+        let owners = ownership::owners(&pools, &candidates);
+        assert_eq!(owners, ownership::owners(&pools, &candidates[1..]), "{odd}");
+        assert_eq!(ownership::watchers(&candidates), ["y", "x"], "{odd}");
+    }
+}
