Members: each gateway polls those whose first heir it is

A gateway that had died was noticed by the random poll of a round only, if it was neither owner of a pool nor watcher: after some 30 s on average at 40 gateways, far beyond the time for which callers wait, and until then nobody read the origins of its streams from the store. Each gateway now also polls the ones whose first heir it is, about one. Found by the review, computed and not run at 40 gateways.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -258,7 +258,7 @@
     }
 
     /// Returns the gateways to poll: some owners of pools and some watchers, those that would be owners or watchers if they were
-    /// responsive, some that have never answered, and a random one, so that changes reach all gateways.
+    /// responsive, those whose first heir is this one, some that have never answered, and a random one, so that changes reach all gateways.
     /// `limited_targets` are the ids and pools of targets whose limits have owners.
     pub(crate) fn to_poll(&self, limited_targets: &[(Name, Name)]) -> Vec<Member> {
         let state = self.state.lock();
@@ -283,6 +283,8 @@
                 names.extend(owners.into_iter().flatten());
             }
         }
+        let inherited = state.others.values().filter(|member| self.is_heir(&state, member));
+        names.extend(inherited.map(|member| member.name.clone()));
         let unreached = state.others.values().filter(|member| !member.has_answered);
         names.extend(unreached.take(MAX_UNREACHED_POLLED).map(|member| member.name.clone()));
         names.extend(state.others.keys().choose(&mut rand::rng()).cloned());
@@ -319,16 +321,19 @@
         ranked.into_iter().take(count).map(|name| state.others[name].clone()).collect()
     }
 
+    /// Returns whether this gateway is the first heir of another one, by the hash of its name among those that answer.
+    fn is_heir(&self, state: &State, member: &Member) -> bool {
+        let own_score = rendezvous::score(&member.name, &self.name);
+        let mut others =
+            state.others.values().filter(|other| other.is_alive() && other.name != member.name);
+        others.all(|other| rendezvous::score(&member.name, &other.name) < own_score)
+    }
+
     /// Returns the gateways that do not answer and whose first heir is this one, with the time since when.
     pub(crate) fn orphaned(&self) -> Vec<(Member, Uptime)> {
         let state = self.state.lock();
-        let alive = || state.others.values().filter(|member| member.is_alive());
-        let is_heir = |member: &Member| {
-            let own_score = rendezvous::score(&member.name, &self.name);
-            alive().all(|other| rendezvous::score(&member.name, &other.name) < own_score)
-        };
         let silent = state.others.values().filter(|m| m.missed_polls >= MISSED_POLL_LIMIT);
-        let orphaned = silent.filter(|member| is_heir(member));
+        let orphaned = silent.filter(|member| self.is_heir(&state, member));
         orphaned.filter_map(|member| Some((member.clone(), member.silent_since?))).collect()
     }
 
