Gateway: a new version costs streams in progress their proof only when it begins one

A version is now added to the set by each gateway before its first stream there, not when it is listed; versions in the set are preferred for new streams, and a version is added when it has been listed for 5 s, or when no other is left. The first list after a start does not count as known any more. The list of targets no longer waits for the store. Streams that go on by the proof get a record, as do those of a route with several pools. When a route is moved its gateways send the origins of its streams, and prove nothing for it for as long as streams live; a gateway that starts just then does not know.

Also of the review, without a test of their own: the proof waits 1 s for a slow store instead of 250 ms; the keepers among the gateways that answer are asked as well; records are sent 16 at a time; a record lives at most as long as a stream on its route, whatever deadline its caller names; an id that is used again keeps its record; the first event does not wait while writes fail; after a restore of the store the origins are written again; a record stays in the store for 10 s after the last event.

listed_since_begins_with_each_appearance expected that the first list counts as known since ever; it now expects the time of the first list, which is stricter.

--- a/crates/core/src/stream_origin.rs
+++ b/crates/core/src/stream_origin.rs
@@ -95,6 +95,9 @@
                 entry.is_ambiguous |= entry.record.origin.version != record.origin.version
                     || entry.record.origin.pool != record.origin.pool;
                 entry.is_own |= is_own;
+                // The id may belong to another stream, which began after the first one had ended.
+                entry.record.expires = entry.record.expires.max(record.expires);
+                entry.needed_until = entry.needed_until.max(record.expires);
                 return true;
             }
             self.remove(record.key);
@@ -128,10 +131,11 @@
         self.entries.get(&key).is_some_and(|entry| entry.needed_until > now)
     }
 
-    /// Returns the records of the streams in progress that this gateway began in a pool.
-    pub fn own_in_pool(&self, pool: &str, now: Uptime) -> Vec<Record> {
+    /// Returns the records of the streams in progress that this gateway began, in one pool or in all.
+    pub fn own(&self, pool: Option<&str>, now: Uptime) -> Vec<Record> {
         let is_wanted = |entry: &&Entry| {
-            entry.is_own && entry.record.origin.pool == pool && entry.needed_until > now
+            let is_in_pool = pool.is_none_or(|pool| entry.record.origin.pool == pool);
+            entry.is_own && is_in_pool && entry.needed_until > now
         };
         self.entries.values().filter(is_wanted).map(|entry| entry.record.clone()).collect()
     }
@@ -202,8 +206,6 @@
         listed: impl Iterator<Item = &'a Target>,
         now: Uptime,
     ) -> Vec<Name> {
-        // Since when the versions of the first list are there is not known, and long enough for most.
-        let since = if self.known_since.is_some() { now } else { Uptime::ZERO };
         self.known_since.get_or_insert(now);
         let before = self.pools.clone();
         for listing in self.pools.values_mut().flat_map(BTreeMap::values_mut) {
@@ -213,7 +215,7 @@
             let versions = self.pools.entry(target.pool.clone()).or_default();
             let earlier = before.get(&target.pool).and_then(|pool| pool.get(&target.version));
             let earlier = earlier.filter(|listing| listing.left_at.is_none());
-            let since = earlier.map_or(since, |listing| listing.since);
+            let since = earlier.map_or(now, |listing| listing.since);
             versions.insert(target.version.clone(), Listing { since, left_at: None });
         }
         self.pools.retain(|_, versions| {
--- a/crates/core/tests/stream_origin.rs
+++ b/crates/core/tests/stream_origin.rs
@@ -96,13 +96,13 @@
 }
 
 #[test]
-fn own_in_pool_leaves_out_the_records_kept_for_others() {
+fn own_leaves_out_the_records_kept_for_others() {
     let mut table = OriginTable::default();
     let own = record(None, "own", "v1", 60);
     table.insert(own.clone(), true, at(0));
     table.insert(record(None, "kept", "v1", 60), false, at(0));
-    assert_eq!(table.own_in_pool("engines", at(1)), [own]);
-    assert!(table.own_in_pool("other", at(1)).is_empty());
+    assert_eq!(table.own(Some("engines"), at(1)), [own]);
+    assert!(table.own(Some("other"), at(1)).is_empty());
 }
 
 /// The record of a stream that has ended must not stay in the store until its caller's deadline.
@@ -116,7 +116,7 @@
     table.on_end(stream.key, at(7));
     assert!(table.is_needed(stream.key, at(6)));
     assert!(!table.is_needed(stream.key, at(7)));
-    assert!(table.own_in_pool("engines", at(7)).is_empty());
+    assert!(table.own(Some("engines"), at(7)).is_empty());
     // Its caller may not have the last event.
     assert_eq!(version_of(&table, stream.key, 59), Some("v1"));
 }
@@ -205,7 +205,7 @@
     let mut history = VersionHistory::default();
     let (old, new) = (target("a", "v1", 1), target("b", "v2", 1));
     history.update([old.clone()].iter(), at(5));
-    assert_eq!(history.listed_since("engines", "v1"), Some(at(0)));
+    assert_eq!(history.listed_since("engines", "v1"), Some(at(5)));
     history.update([old.clone(), new.clone()].iter(), at(20));
     history.update([old.clone(), new.clone()].iter(), at(30));
     assert_eq!(history.listed_since("engines", "v2"), Some(at(20)));
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -26,6 +26,7 @@
 use crate::announcements;
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits;
+use crate::origins::versions;
 use crate::response::Failure;
 use crate::shared::{AdoptedConfig, Shared};
 use crate::stage_runner::{Results, StageRunner};
@@ -240,6 +241,11 @@
         self.customer.as_ref().map(|customer| customer.name.as_str())
     }
 
+    /// Returns whether a stream that can be taken up would begin at the next target.
+    fn is_beginning(&self) -> bool {
+        self.route.repeat == Repeat::Resumable && self.begun.is_none()
+    }
+
     /// Chooses among the targets that have not been tried and are not in `held`.
     fn pick_target(&self, now: Uptime, held: &HashSet<Name>) -> Option<Arc<TrackedTarget>> {
         let targets = self.shared.targets.in_pool(&self.pool);
@@ -252,9 +258,11 @@
         };
         let mut untried: Vec<Arc<TrackedTarget>> =
             targets.into_iter().filter(is_candidate).collect();
-        let is_beginning = self.route.repeat == Repeat::Resumable && self.begun.is_none();
-        if is_beginning && untried.iter().any(|tracked| tracked.has_known_version(now)) {
-            untried.retain(|tracked| tracked.has_known_version(now));
+        let is_added = |tracked: &Arc<TrackedTarget>| {
+            self.shared.versions.is_added(&self.pool, &tracked.target.version)
+        };
+        if self.is_beginning() && untried.iter().any(is_added) {
+            untried.retain(is_added);
         }
         let settings = self.shared.settings();
         let candidates: Vec<Candidate> =
@@ -304,6 +312,9 @@
                     None => self.no_target_failure(),
                 });
             };
+            if self.is_beginning() {
+                versions::ensure_added(&self.shared, &self.pool, &tracked.target.version).await;
+            }
             let is_granted = limits::acquire(&self.shared, &tracked, self.demand()).await;
             if !is_granted || !tracked.hold.acquire(boottime::now()) {
                 denied.insert(tracked.target.id.clone());
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -53,11 +53,15 @@
             return Ok(());
         }
         let pools = &self.route.pools;
+        let window = origins::window(self.route.timeout);
+        let since = boottime::now().saturating_sub(window);
+        let is_only_pool =
+            pools.len() == 1 && !self.shared.was_moved_after(&self.route.name, since);
         let stream = TakenUp {
             customer: self.customer_name(),
             resumes: self.head.resumes.as_deref(),
-            pool: (pools.len() == 1).then(|| pools[0].0.as_str()),
-            window: origins::window(self.route.timeout),
+            pool: is_only_pool.then(|| pools[0].0.as_str()),
+            window,
         };
         let begun = match origins::find(&self.shared, stream).await {
             Found::Origin(origin) => {
@@ -84,27 +88,32 @@
         self.check_version().map_err(|reason| self.version_failure(reason))
     }
 
-    /// Records where the stream of this request begins, before the caller gets its first event.
+    /// Records where the stream of this request begins, or goes on without a record, before the caller gets its first event.
     pub(crate) async fn record_origin(&mut self, target: &Target) {
-        if self.route.repeat != Repeat::Resumable || self.begun.is_some() {
+        let is_recorded = self.begun.as_ref().is_some_and(Begun::is_recorded);
+        if self.route.repeat != Repeat::Resumable || is_recorded {
             return;
         }
         let origin = Origin::from(target);
         self.begun = Some(Begun { version: origin.version.clone(), origin: Some(origin.clone()) });
         let record = Record {
-            key: stream_origin::key(self.customer_name(), self.request()),
+            key: stream_origin::key(self.customer_name(), self.first_attempt()),
             customer: self.customer_name().map(str::to_owned),
             origin,
             expires: self.arrived + self.head.timeout.unwrap_or_default().max(self.route.timeout),
         };
-        origins::record(&self.shared, record, origins::window(self.route.timeout)).await;
+        origins::record(&self.shared, record, &self.route).await;
+    }
+
+    /// Returns the caller's attempt that brought the first event of the stream.
+    fn first_attempt(&self) -> &str {
+        self.head.resumes.as_deref().unwrap_or(self.request())
     }
 
     /// Records that the stream has ended with its last event.
     pub(crate) fn on_stream_end(&self) {
         if self.route.repeat == Repeat::Resumable {
-            let first = self.head.resumes.as_deref().unwrap_or(self.request());
-            origins::on_end(&self.shared, self.customer_name(), first);
+            origins::on_end(&self.shared, self.customer_name(), self.first_attempt());
         }
     }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -16,7 +16,6 @@
 use crate::dialect::Dialect;
 use crate::odd_objects;
 use crate::origins;
-use crate::origins::versions;
 use crate::shared::Shared;
 
 /// Kind of the objects in which gateways register their addresses.
@@ -61,13 +60,7 @@
 
     /// Applies changes after the version `after` that were requested at `sent`; without a version they are a full list of
     /// the objects of the kind.
-    fn apply(
-        &self,
-        shared: &Arc<Shared<D, S>>,
-        changes: Changes,
-        after: Version,
-        sent: Uptime,
-    ) -> impl Future<Output = ()> + Send;
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime);
 
     /// Returns the version from which the next call goes on, if changes after `after` may have come from other gateways.
     fn position(&self, _shared: &Shared<D, S>, after: Version) -> Version {
@@ -147,7 +140,7 @@
                     odd_objects::report(&shared, F::KIND, name, odd.version, &odd.reason);
                 }
                 let before = std::mem::replace(&mut after, changes.version);
-                handler.apply(&shared, changes, before, sent).await;
+                handler.apply(&shared, changes, before, sent);
             }
             Err(Error::HistoryExpired { .. }) => {
                 shared.record_store_answer(F::KIND, boottime::now());
@@ -199,17 +192,13 @@
         }
     }
 
-    async fn apply(
-        &self,
-        shared: &Arc<Shared<D, S>>,
-        changes: Changes,
-        _after: Version,
-        sent: Uptime,
-    ) {
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, _after: Version, sent: Uptime) {
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
             match &object.value {
                 Some(text) => {
-                    shared.adopt(text, "store");
+                    if shared.adopt(text, "store") {
+                        origins::on_config(shared);
+                    }
                 }
                 None => tracing::error!(
                     version = %object.version,
@@ -254,15 +243,8 @@
         shared.target_changes.lock().version()
     }
 
-    async fn apply(
-        &self,
-        shared: &Arc<Shared<D, S>>,
-        changes: Changes,
-        after: Version,
-        sent: Uptime,
-    ) {
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime) {
         let changes = changes.parse(|object| read_target(shared, object));
-        versions::add(shared, &changes).await;
         apply_target_changes(shared, &changes, after, sent);
     }
 }
@@ -317,7 +299,7 @@
     drop(recent);
     let mixed_pools = shared.targets.take_newly_mixed();
     if !mixed_pools.is_empty() {
-        tokio::spawn(origins::send_own(shared.clone(), mixed_pools));
+        tokio::spawn(origins::send_own(shared.clone(), mixed_pools, "several_versions"));
     }
     if held > 0 {
         tokio::spawn(release_held_targets(shared.clone()));
@@ -404,13 +386,7 @@
         time::sleep(delay).await;
     }
 
-    async fn apply(
-        &self,
-        shared: &Arc<Shared<D, S>>,
-        changes: Changes,
-        after: Version,
-        _sent: Uptime,
-    ) {
+    fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, _sent: Uptime) {
         if after.is_none() {
             // A store that was restored from an older copy may have lost the entries of gateways that answer.
             for member in shared.members.others().iter().filter(|member| !member.is_alive()) {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -16,7 +16,8 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use marigold_core::digest;
-use marigold_core::ids::{SoftwareVersion, Uptime};
+use marigold_core::ids::{Name, SoftwareVersion, Uptime};
+use marigold_core::routes::Route;
 use marigold_core::stream_origin::version_set::Proof;
 use marigold_core::stream_origin::{self, Origin, OriginTable, Record};
 use marigold_objects::Store;
@@ -32,6 +33,8 @@
 
 /// Number of other gateways that keep a record.
 const KEEPERS: usize = 2;
+/// Number of records that are sent at a time.
+const MAX_SENT_AT_ONCE: usize = 16;
 /// Number of other gateways that are asked for a record. More than keep it, since memberships may differ.
 const ASKED: usize = 4;
 /// Time for which the first event waits until another gateway and the store have the record. A fraction of the delay from which an event
@@ -39,8 +42,10 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a question for a record.
 pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of the read of the versions in the store, which may be slow.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after the last event for which a record stays in the store, as the caller may not have received it yet.
-const END_MARGIN: Duration = Duration::from_secs(2);
+const END_MARGIN: Duration = Duration::from_secs(10);
 /// Delay before gateways are asked again for a record that none has found, when some did not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after a caller's deadline for which a record is kept.
@@ -91,11 +96,15 @@
 pub(crate) async fn record<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     record: Record,
-    window: Duration,
+    route: &Route,
 ) {
-    let is_only = only_version(shared, &record.origin.pool, window).is_some();
+    let window = window(route.timeout);
+    // Nobody can prove in which pool a stream began that may have begun in several.
+    let is_only =
+        route.pools.len() == 1 && only_version(shared, &record.origin.pool, window).is_some();
     let now = boottime::now();
-    let record = Record { expires: record.expires + RECORD_MARGIN, ..record };
+    let expires = (record.expires + RECORD_MARGIN).min(now + window);
+    let record = Record { expires, ..record };
     if !shared.origins.table.lock().insert(record.clone(), true, now) {
         tracing::warn!(customer = record.customer, "too many streams; origin not recorded");
     }
@@ -103,16 +112,16 @@
         return;
     }
     let ticket = shared.origins.queue.push(record.clone());
-    let written = time::timeout(RECORD_TIMEOUT, shared.origins.queue.wait_written(ticket));
-    let (is_kept, written) = tokio::join!(send(shared, &record), written);
-    if written.is_err() {
+    let written = shared.origins.queue.wait_written(ticket, RECORD_TIMEOUT);
+    let (is_kept, is_stored) = tokio::join!(send(shared, &record), written);
+    if !is_stored {
         shared.metrics.origins_stored_late.add(1, &[]);
     }
     if !is_kept {
         tracing::info!(
             pool = record.origin.pool,
             software = record.origin.version,
-            is_stored = written.is_ok(),
+            is_stored,
             "no other gateway has recorded the origin of a stream"
         );
     }
@@ -149,20 +158,44 @@
     time::timeout(RECORD_TIMEOUT, first).await.unwrap_or(false)
 }
 
-/// Sends the records of the streams that this gateway began in pools that have just got a second version.
-pub(crate) async fn send_own<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, pools: Vec<String>) {
+/// Sends the records of the streams in progress that this gateway began in some pools, and stores them, as it can no longer be
+/// proved where they began.
+pub(crate) async fn send_own<D: Dialect, S: Store>(
+    shared: Arc<Shared<D, S>>,
+    pools: Vec<Name>,
+    reason: &'static str,
+) {
     for pool in pools {
-        let records = shared.origins.table.lock().own_in_pool(&pool, boottime::now());
-        tracing::info!(pool, streams = records.len(), "pool has several software versions");
+        let records = shared.origins.table.lock().own(Some(&pool), boottime::now());
+        tracing::info!(pool, streams = records.len(), reason, "origins of streams sent");
         for record in &records {
             shared.origins.queue.push(record.clone());
         }
-        for record in &records {
-            send(&shared, record).await;
-        }
+        send_all(&shared, records).await;
+    }
+}
+
+/// Sends the records of pools from which the new configuration has moved routes.
+pub(crate) fn on_config<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>) {
+    let pools = shared.take_left_pools();
+    if !pools.is_empty() {
+        tokio::spawn(send_own(shared.clone(), pools, "route_moved"));
     }
 }
 
+/// Sends records to the gateways that keep them; returns those that none has taken in time.
+async fn send_all<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
+    records: Vec<Record>,
+) -> Vec<Record> {
+    let sent = records.into_iter().map(async |record| {
+        let is_kept = send(shared, &record).await;
+        (!is_kept).then_some(record)
+    });
+    let sent = futures::stream::iter(sent).buffer_unordered(MAX_SENT_AT_ONCE);
+    sent.filter_map(async |record| record).collect().await
+}
+
 /// Stream that a caller takes up.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TakenUp<'a> {
@@ -211,7 +244,13 @@
         pool: stream.pool.map(str::to_owned),
         window_ms: stream.window.as_millis() as u64,
     };
-    let asked = shared.members.ranked(&query.key, ASKED, false);
+    // Those that rank first among all, and those that do among the ones that answer now.
+    let mut asked = shared.members.ranked(&query.key, ASKED, false);
+    for member in shared.members.ranked(&query.key, KEEPERS, true) {
+        if asked.iter().all(|other| other.name != member.name) {
+            asked.push(member);
+        }
+    }
     let mut answers: FuturesUnordered<_> = asked.iter().map(|member| ask(member, &query)).collect();
     let mut versions_of_others = Vec::new();
     while let Some(answer) = answers.next().await {
@@ -224,7 +263,7 @@
     let (asked, answered) = (asked.len(), versions_of_others.len());
     let unknown = Found::Unknown { asked, answered };
     let Some(pool) = stream.pool else { return unknown };
-    let proof = time::timeout(QUERY_TIMEOUT, versions::prove(shared, pool)).await;
+    let proof = time::timeout(PROOF_TIMEOUT, versions::prove(shared, pool)).await;
     match proof {
         Ok(Ok(Proof::Only(version))) => Found::Version(version),
         Ok(Ok(Proof::Several)) => unknown,
--- a/crates/gateway/src/origins/stored.rs
+++ b/crates/gateway/src/origins/stored.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use marigold_core::ids::{KeyDigest, Name, Uptime};
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
-use super::send;
+use super::send_all;
 use crate::dialect::Dialect;
 use crate::members::Member;
 use crate::shared::Shared;
@@ -58,6 +58,8 @@
     added: Notify,
     /// Up to which ticket the records have been written.
     written: watch::Sender<Ticket>,
+    /// Whether the last write has failed.
+    is_failing: AtomicBool,
 }
 
 impl Queue {
@@ -70,10 +72,14 @@
         queued.total
     }
 
-    /// Waits until a record has been written.
-    pub(super) async fn wait_written(&self, ticket: Ticket) {
-        // The sender lives as long as this queue.
-        let _ = self.written.subscribe().wait_for(|written| *written >= ticket).await;
+    /// Waits until a record has been written, unless the last write has failed; returns whether it has been in time.
+    pub(super) async fn wait_written(&self, ticket: Ticket, timeout: Duration) -> bool {
+        if self.is_failing.load(Ordering::Relaxed) {
+            return false;
+        }
+        let mut written = self.written.subscribe();
+        let written = written.wait_for(|written| *written >= ticket);
+        matches!(time::timeout(timeout, written).await, Ok(Ok(_)))
     }
 
     fn is_empty(&self) -> bool {
@@ -128,7 +134,18 @@
 pub(crate) async fn run<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     let kind = kind_of(&shared.settings().name);
     let mut slots = restore_own(&shared, &kind).await;
+    let mut era = shared.store_era.subscribe();
     loop {
+        if era.has_changed().unwrap_or(false) {
+            // The copy from which the store was restored may lack any of the slots.
+            era.mark_unchanged();
+            for key in slots.drain(..).flat_map(|slot| slot.keys) {
+                let record = shared.origins.table.lock().get(key, boottime::now()).cloned();
+                if let Some(record) = record {
+                    shared.origins.queue.push(record);
+                }
+            }
+        }
         let added = shared.origins.queue.added.notified();
         if !shared.origins.queue.is_empty() {
             let sent = boottime::now();
@@ -136,7 +153,10 @@
             let took = boottime::now().saturating_sub(sent);
             time::sleep(write_interval(&shared).saturating_sub(took)).await;
         } else if slots.is_empty() {
-            added.await;
+            tokio::select! {
+                () = added => {}
+                _ = era.changed() => era.mark_changed(),
+            }
         } else if time::timeout(IDLE_DELAY, added).await.is_err() {
             delete_unneeded(&shared, &kind, &mut slots).await;
         }
@@ -176,6 +196,7 @@
     match shared.store.put(kind, &slot.name, text, expect).await {
         Ok(version) => {
             slot.version = version;
+            shared.origins.queue.is_failing.store(false, Ordering::Relaxed);
             shared.origins.queue.written.send_replace(last);
             tracing::debug!(streams = records.len(), slot = slot.name, "origins of streams stored");
         }
@@ -186,6 +207,7 @@
                 slot.version = found;
                 slot.keys.clear();
             } else {
+                shared.origins.queue.is_failing.store(true, Ordering::Relaxed);
                 on_failure(shared, "origins of streams not stored", &err);
                 retry_delay().await;
             }
@@ -276,16 +298,11 @@
 /// Sends records to the gateways that keep them, until each is kept by one.
 async fn resend<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, mut records: Vec<Record>) {
     for _ in 0..MAX_RESENDS {
-        let mut remaining = Vec::new();
-        for record in records {
-            if record.expires > boottime::now() && !send(&shared, &record).await {
-                remaining.push(record);
-            }
-        }
-        if remaining.is_empty() {
+        records = send_all(&shared, records).await;
+        records.retain(|record| record.expires > boottime::now());
+        if records.is_empty() {
             return;
         }
-        records = remaining;
         time::sleep(RESEND_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -1,19 +1,19 @@
 //! The software versions that may have begun streams, as the store holds them for all gateways.
 //!
-//! Whoever reads a list of targets from the store adds its versions before the list is used here or passed on to others. So
-//! a set that is read after a stream was taken up has the version that began it.
+//! A gateway adds a version before it begins the first stream there. So a set that is read after a stream was taken up has the
+//! version that began it, and a new version costs the streams in progress nothing until it is used.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use marigold_core::ids::Uptime;
+use arc_swap::ArcSwap;
+use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::routes::Repeat;
 use marigold_core::stream_origin::PoolVersion;
 use marigold_core::stream_origin::version_set::{Proof, Review, VersionSet};
-use marigold_core::targets::Target;
-use marigold_objects::{Changes, Error, Expect, Result, Store, Version};
+use marigold_objects::{Error, Expect, Result, Store, Version};
 use marigold_process::boottime;
 use marigold_schema::messages::StoredVersions;
 use opentelemetry::KeyValue;
@@ -26,7 +26,7 @@
 /// Kind of the objects, one for each era of the store, named by its number. A restored store gives its revisions out again, so
 /// the condition of a write that was sent before could hold by chance.
 const KIND: &str = "stream-versions";
-/// Time for which a list of targets waits until its versions are in the store. Targets that leave must be noticed in time.
+/// Time for which a stream waits until its version is in the set, if no target has a version that is.
 const ADD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between two reads for proofs; requests that wait meanwhile share one.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
@@ -54,22 +54,54 @@
 /// What this gateway knows of the set.
 #[derive(Default)]
 pub(crate) struct Versions {
-    /// Versions that are in the set and have been listed without interruption since they were found there.
-    added: Mutex<BTreeSet<PoolVersion>>,
+    /// Versions by pool that are in the set and have been listed without interruption since they were found there.
+    added: ArcSwap<BTreeMap<Name, BTreeSet<SoftwareVersion>>>,
     /// Versions that are used although they could not be added in time.
     overdue: Mutex<BTreeSet<PoolVersion>>,
     last_read: Mutex<Option<Read>>,
-    /// Whether the history of versions was looked for in the set since the list of targets was last unknown.
-    is_history_read: AtomicBool,
+    /// Whether the set was read since the list of targets was last unknown.
+    is_adopted: AtomicBool,
+    /// Held while a stream waits for its version to be added.
+    adding: tokio::sync::Mutex<()>,
     /// Held during a read for proofs.
     reading: tokio::sync::Mutex<()>,
 }
 
 impl Versions {
+    /// Returns whether streams may begin at a version.
+    pub(crate) fn is_added(&self, pool: &str, version: &str) -> bool {
+        self.added.load().get(pool).is_some_and(|versions| versions.contains(version))
+    }
+
+    fn has_added(&self, pool: &str) -> bool {
+        self.added.load().contains_key(pool)
+    }
+
+    fn extend_added(&self, versions: &BTreeSet<PoolVersion>) {
+        self.added.rcu(|added| {
+            let mut added = BTreeMap::clone(added);
+            for (pool, version) in versions {
+                added.entry(pool.clone()).or_default().insert(version.clone());
+            }
+            added
+        });
+    }
+
+    fn retain_added(&self, is_listed: impl Fn(&str, &str) -> bool) {
+        self.added.rcu(|added| {
+            let mut added = BTreeMap::clone(added);
+            added.retain(|pool, versions| {
+                versions.retain(|version| is_listed(pool, version));
+                !versions.is_empty()
+            });
+            added
+        });
+    }
+
     /// Records that the list of targets was not known for a while.
     pub(crate) fn on_gap(&self) {
-        self.added.lock().clear();
-        self.is_history_read.store(false, Ordering::Relaxed);
+        self.added.store(Arc::default());
+        self.is_adopted.store(false, Ordering::Relaxed);
     }
 }
 
@@ -125,26 +157,28 @@
     tracing::warn!(%err, "{message}");
 }
 
-/// Adds the versions of targets that the store has listed to the set, before the targets are used.
-pub(crate) async fn add<D: Dialect, S: Store>(
-    shared: &Arc<Shared<D, S>>,
-    changes: &Changes<Target>,
+/// Adds a version to the set, before a stream begins there.
+pub(crate) async fn ensure_added<D: Dialect, S: Store>(
+    shared: &Shared<D, S>,
+    pool: &str,
+    version: &str,
 ) {
-    let targets = changes.objects.iter().filter_map(|object| object.value.as_ref());
-    let used: BTreeSet<PoolVersion> =
-        targets.map(|target| (target.pool.clone(), target.version.clone())).collect();
-    let missing: BTreeSet<PoolVersion> = {
-        let mut added = shared.versions.added.lock();
-        added.retain(|(pool, version)| shared.targets.is_version_listed(pool, version));
-        used.difference(&added).cloned().collect()
-    };
-    if missing.is_empty() {
+    let key = (pool.to_owned(), version.to_owned());
+    let is_done =
+        || shared.versions.is_added(pool, version) || shared.versions.overdue.lock().contains(&key);
+    if is_done() {
+        return;
+    }
+    let _guard = shared.versions.adding.lock().await;
+    if is_done() {
         return;
     }
+    let missing = BTreeSet::from([key.clone()]);
     if time::timeout(ADD_TIMEOUT, add_until_done(shared, &missing)).await.is_err() {
         tracing::error!(
-            versions = ?missing,
-            "software versions not added to the store in time; using the list of targets"
+            pool,
+            version,
+            "software version used before it could be added to the store"
         );
         shared.versions.overdue.lock().extend(missing);
     }
@@ -179,7 +213,7 @@
         tracing::info!(versions = ?missing, "software versions added to the store");
         write(shared, &read, set).await?;
     }
-    shared.versions.added.lock().extend(missing.iter().cloned());
+    shared.versions.extend_added(missing);
     Ok(())
 }
 
@@ -212,54 +246,71 @@
     Some(resumable.map(|route| super::window(route.timeout)).max()?.max(MIN_WINDOW))
 }
 
-/// Restores the history of versions from the set, and removes versions from it that are not used any more, until the process
-/// ends.
+/// Keeps the set up to date, until the process ends: adds versions that streams are to begin at, and removes those that are not
+/// used any more.
 pub(crate) async fn maintain_forever<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
     let mut review = Review::default();
     loop {
         time::sleep(MAINTENANCE_INTERVAL).await;
-        let now = boottime::now();
-        if !shared.has_current_targets(now) {
+        if !shared.has_current_targets(boottime::now()) {
             review.on_gap();
             continue;
         }
-        let overdue = shared.versions.overdue.lock().clone();
-        let maintained = if !overdue.is_empty() {
-            add_overdue(&shared, &overdue).await
-        } else if !shared.versions.is_history_read.load(Ordering::Relaxed)
-            && shared.targets.len() > 0
-        {
-            restore_history(&shared).await
-        } else if shared.members.is_watcher() {
-            revise(&shared, &mut review).await
-        } else {
-            continue;
-        };
-        match maintained {
+        match maintain(&shared, &mut review).await {
             Ok(()) | Err(Error::Conflict { .. }) => {}
             Err(err) => on_failure(&shared, "software versions not maintained", &err),
         }
     }
 }
 
-async fn add_overdue<D: Dialect, S: Store>(
-    shared: &Shared<D, S>,
-    overdue: &BTreeSet<PoolVersion>,
-) -> Result<()> {
-    add_once(shared, overdue).await?;
-    shared.versions.overdue.lock().retain(|version| !overdue.contains(version));
+async fn maintain<D: Dialect, S: Store>(shared: &Shared<D, S>, review: &mut Review) -> Result<()> {
+    shared.versions.retain_added(|pool, version| shared.targets.is_version_listed(pool, version));
+    if !shared.versions.is_adopted.load(Ordering::Relaxed) && shared.targets.len() > 0 {
+        adopt(shared).await?;
+    }
+    let now = boottime::now();
+    let mut due = shared.versions.overdue.lock().clone();
+    for (key, is_known) in shared.targets.listed_versions(now) {
+        let (pool, version) = &key;
+        let is_needed = is_known || !shared.versions.has_added(pool);
+        if is_needed && !shared.versions.is_added(pool, version) && begins_streams(shared, pool) {
+            due.insert(key);
+        }
+    }
+    if !due.is_empty() {
+        add_once(shared, &due).await?;
+        shared.versions.overdue.lock().retain(|version| !due.contains(version));
+    }
+    if shared.members.is_watcher() {
+        revise(shared, review).await?;
+    }
     Ok(())
 }
 
-/// Takes the set over as the history of versions before this gateway knew the list of targets. If it lacks versions, the
-/// history is known when this gateway has seen the list for long enough.
-async fn restore_history<D: Dialect, S: Store>(shared: &Shared<D, S>) -> Result<()> {
+/// Returns whether streams that can be taken up begin in a pool.
+fn begins_streams<D: Dialect, S: Store>(shared: &Shared<D, S>, pool: &str) -> bool {
+    let Some(adopted) = shared.adopted.load_full() else { return false };
+    let mut resumable = adopted.routing.routes().filter(|route| route.repeat == Repeat::Resumable);
+    resumable.any(|route| route.pools.iter().any(|(name, _)| name == pool))
+}
+
+/// Takes the set over after the list of targets was unknown: as the history of versions of that time, and the versions that are
+/// listed as those that streams may begin at. If the set lacks versions, the history is known when this gateway has seen
+/// the list for long enough.
+async fn adopt<D: Dialect, S: Store>(shared: &Shared<D, S>) -> Result<()> {
     let read = read(shared).await?;
+    let now = boottime::now();
+    let listed: BTreeSet<PoolVersion> = shared.targets.listed_versions(now).into_keys().collect();
+    let usable = read.set.iter().map(|(pool, version)| (pool.clone(), version.clone()));
+    let usable: BTreeSet<PoolVersion> = usable.filter(|key| listed.contains(key)).collect();
+    if !usable.is_empty() {
+        add_once(shared, &usable).await?;
+    }
     if read.set.is_complete() {
-        shared.targets.restore_history(&read.set, boottime::now());
+        shared.targets.restore_history(&read.set, now);
         tracing::info!(versions = read.set.iter().count(), "history of software versions restored");
     }
-    shared.versions.is_history_read.store(true, Ordering::Relaxed);
+    shared.versions.is_adopted.store(true, Ordering::Relaxed);
     Ok(())
 }
 
@@ -272,9 +323,9 @@
     };
     let last = shared.versions.last_read.lock().clone();
     let is_due = last.is_none_or(|last| {
-        let versions = last.set.iter().map(|(pool, version)| (pool.clone(), version.clone()));
-        let is_same = versions.eq(recent.iter().cloned());
-        !last.set.is_complete() || (!is_same && last.at + REVIEW_INTERVAL <= now)
+        let mut versions = last.set.iter().map(|(pool, version)| (pool.clone(), version.clone()));
+        let is_in_use = versions.all(|version| recent.contains(&version));
+        !last.set.is_complete() || (!is_in_use && last.at + REVIEW_INTERVAL <= now)
     });
     if !is_due {
         return Ok(());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -335,7 +335,9 @@
         let reply = exchange(member, &Request::ReadConfig(own_version), CONFIG_TIMEOUT).await;
         shared.end_config_read();
         let Reply::Config(config) = reply? else { return Err("unexpected reply".to_owned()) };
-        shared.adopt(&config.text, "peer");
+        if shared.adopt(&config.text, "peer") {
+            origins::on_config(shared);
+        }
     }
     // The peer determined the age after the request was sent, so the proof is not older than computed here.
     if let Some(age) =
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use marigold_core::freshness::{Confidence, Freshness};
 use marigold_core::ids::{Name, SoftwareVersion, Uptime};
 use marigold_core::retry::{WindowBudget, WindowLimit};
-use marigold_core::routes::Routing;
+use marigold_core::routes::{Repeat, Route, Routing};
 use marigold_core::store_service::{self, StoreService};
 use marigold_core::targets::Target;
 use marigold_objects::RecentChanges;
@@ -94,6 +94,10 @@
     is_reading_config: AtomicBool,
     /// Whether changes of the targets are being read from a peer.
     is_reading_targets: AtomicBool,
+    /// When resumable routes were last moved to other pools, by name of the route.
+    routes_moved: Mutex<HashMap<Name, Uptime>>,
+    /// Pools from which routes were moved since they were last taken.
+    left_pools: Mutex<Vec<Name>>,
     /// Since when a peer has had a newer configuration.
     pub(crate) newer_config_since: Mutex<Option<Uptime>>,
     budgets: Mutex<HashMap<Name, WindowBudget>>,
@@ -143,6 +147,8 @@
             has_unread_restore: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
             is_reading_targets: AtomicBool::new(false),
+            routes_moved: Mutex::default(),
+            left_pools: Mutex::default(),
             newer_config_since: Mutex::default(),
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
@@ -185,6 +191,7 @@
                 *self.newer_config_since.lock() = None;
                 self.metrics.config_version.record(routing.version, &[]);
                 self.durations.retain(&routing);
+                self.record_moved_routes(&routing);
                 self.adopted
                     .store(Some(Arc::new(AdoptedConfig { text: text.to_owned(), routing })));
                 self.members.set_pools(self.pools_with_stages());
@@ -197,6 +204,32 @@
         }
     }
 
+    fn record_moved_routes(&self, routing: &Routing) {
+        let Some(before) = self.adopted.load_full() else { return };
+        let now = boottime::now();
+        let before: HashMap<&Name, &Arc<Route>> =
+            before.routing.routes().map(|route| (&route.name, route)).collect();
+        let mut moved = self.routes_moved.lock();
+        for route in routing.routes().filter(|route| route.repeat == Repeat::Resumable) {
+            let earlier = before.get(&route.name);
+            if let Some(earlier) = earlier.filter(|earlier| earlier.pools != route.pools) {
+                moved.insert(route.name.clone(), now);
+                let pools = earlier.pools.iter().map(|(pool, _)| pool.clone());
+                self.left_pools.lock().extend(pools);
+            }
+        }
+    }
+
+    /// Returns whether a route was moved to other pools after a time.
+    pub(crate) fn was_moved_after(&self, route: &str, at: Uptime) -> bool {
+        self.routes_moved.lock().get(route).is_some_and(|moved| *moved > at)
+    }
+
+    /// Takes the pools from which routes were moved since the last call.
+    pub(crate) fn take_left_pools(&self) -> Vec<Name> {
+        std::mem::take(&mut *self.left_pools.lock())
+    }
+
     /// Returns the pools that run stages in the configuration in force.
     pub(crate) fn pools_with_stages(&self) -> Vec<Name> {
         let adopted = self.adopted.load();
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -23,16 +23,9 @@
     pub(crate) load: Arc<Load>,
     /// Pause that the target has asked for.
     pub(crate) hold: Arc<TargetHold>,
-    /// Since when targets of the pool with this software version are listed.
-    version_since: Uptime,
 }
 
 impl TrackedTarget {
-    /// Returns whether the software version has been listed for so long that all gateways with a current list know it.
-    pub(crate) fn has_known_version(&self, now: Uptime) -> bool {
-        self.version_since + MAX_LIST_AGE <= now
-    }
-
     /// Returns the candidate for the choice among targets, as seen from `own_data_centre`.
     pub(crate) fn candidate(&self, own_data_centre: &str, now: Uptime) -> Candidate {
         Candidate {
@@ -87,6 +80,21 @@
         self.versions.lock().is_listed(pool, version)
     }
 
+    /// Returns the software versions that are listed, and whether they have been for so long that all gateways with a current
+    /// list know them.
+    pub(crate) fn listed_versions(&self, now: Uptime) -> BTreeMap<PoolVersion, bool> {
+        let list = self.list.lock();
+        let versions = self.versions.lock();
+        let is_known = |target: &Target| {
+            let since = versions.listed_since(&target.pool, &target.version);
+            since.is_some_and(|since| since + MAX_LIST_AGE <= now)
+        };
+        let listed = list
+            .all()
+            .map(|target| ((target.pool.clone(), target.version.clone()), is_known(target)));
+        listed.collect()
+    }
+
     /// Adds the versions of a set that lacks none to the history.
     pub(crate) fn restore_history(&self, set: &VersionSet, now: Uptime) {
         self.versions.lock().restore(set.iter(), now);
@@ -175,19 +183,13 @@
         for target in list.usable() {
             let kept = by_id.get(target.id.as_str()).filter(|tracked| tracked.target == *target);
             let tracked = kept.map(|tracked| Arc::clone(tracked)).unwrap_or_else(|| {
-                let version_since = versions.listed_since(&target.pool, &target.version);
                 let same_start = by_id
                     .get(target.id.as_str())
                     .filter(|tracked| tracked.target.started_at_ms == target.started_at_ms);
                 let (load, hold) = same_start
                     .map(|tracked| (tracked.load.clone(), tracked.hold.clone()))
                     .unwrap_or_default();
-                Arc::new(TrackedTarget {
-                    target: target.clone(),
-                    load,
-                    hold,
-                    version_since: version_since.unwrap_or_default(),
-                })
+                Arc::new(TrackedTarget { target: target.clone(), load, hold })
             });
             pools.entry(target.pool.clone()).or_default().push(tracked);
         }
