Model: what survives the loss of all gateways, for streams

Callers whose streams broke when all gateways were lost could not take them up: the origins are kept in memory only. The design keeps records of streams and the set of versions that may have begun some in the store. This model explores the design with lost, late and refused writes, restores of the store, upgrades and removals from the set.

The set is read when a stream is taken up, so the proof rests neither on the age of the list nor on the 5 s after which a version begins streams.

The model is of the design; no code of the gateways is changed here.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod poison;
 pub mod restore;
 mod search;
+pub mod stored_origins;
 pub mod target_relay;
 
 pub use search::Exploration;
