--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -53,6 +53,14 @@
         /// Error of the connection, or a timeout.
         reason: String,
     },
+    /// The reply has more bytes than are accepted.
+    #[error("calling {peer}: the reply has more than {limit} bytes")]
+    TooLarge {
+        /// Address that was called.
+        peer: SocketAddr,
+        /// Maximum size of the body, in bytes.
+        limit: usize,
+    },
 }
 
 /// An open connection; dropping it closes it.
@@ -160,7 +168,7 @@
     /// If `may_retry` is set, a call that fails on a reused connection is repeated on a new one.
     ///
     /// # Errors
-    /// [`Error::NotSent`] or [`Error::MaybeSent`]; the latter also when the reply is too large or is not complete
+    /// [`Error::NotSent`], [`Error::TooLarge`] or [`Error::MaybeSent`]; the latter also when the reply is not complete
     /// within `timeout`.
     pub async fn exchange(
         &self,
@@ -207,9 +215,13 @@
             req.headers_mut().insert(header::HOST, host);
             let (head, body) = connection.send(req).await?.into_parts();
             let read = Limited::new(body, limit).collect().await;
-            let body = read.map_err(|err| Error::MaybeSent {
-                peer: self.peer,
-                reason: format!("reading the reply: {}", error_chain(&*err)),
+            let peer = self.peer;
+            let body = read.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
+                Some(_) => Error::TooLarge { peer, limit },
+                None => {
+                    let reason = format!("reading the reply: {}", error_chain(&*err));
+                    Error::MaybeSent { peer, reason }
+                }
             })?;
             Ok(Response::from_parts(head, body.to_bytes()))
         });
