Gateway: the age of the list of targets counts from the question to the store

Cause: the list counted as read when the answer of the store was read. An answer that had lain in the socket during the freeze, or was slow on its way, made the list young again, as did the answer that the history has expired, which brings no list. Where 5 s are the bound the list could be 5 s and the time of a call old, and by then the others use a version that it lacks.

The age is now that of the proof which is passed on to other gateways: it counts from when the question was sent. Gaps in the history of versions are found by the same age, before a newer list is adopted. The age is looked at before the versions, since the list may be replaced in between.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -259,6 +259,7 @@
 ) {
     // Held until the list is changed, so that changes are applied in their order.
     let mut recent = shared.target_changes.lock();
+    shared.check_targets_gap(&recent, boottime::now());
     let is_whole = after.is_none();
     let is_new = if is_whole {
         recent.replace(changes.version, at)
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -87,8 +87,9 @@
     window: Duration,
 ) -> Option<SoftwareVersion> {
     let now = boottime::now();
-    let version = shared.targets.only_version(pool, now, window);
-    version.filter(|_| shared.has_current_targets(now))
+    // First, since the list may be replaced in between.
+    let is_current = shared.has_current_targets(now);
+    shared.targets.only_version(pool, now, window).filter(|_| is_current)
 }
 
 /// Records that a stream begins with its first event; returns after another gateway and the store have the record, if it is
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -281,7 +281,11 @@
     state: &messages::TargetsState,
     sent: Uptime,
 ) -> Result<(), String> {
-    let step = target_relay::compare(&mut shared.target_changes.lock(), state, sent);
+    let step = {
+        let mut recent = shared.target_changes.lock();
+        shared.check_targets_gap(&recent, boottime::now());
+        target_relay::compare(&mut recent, state, sent)
+    };
     let after = match step {
         Step::Ignore => return Ok(()),
         Step::Verified(at) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -248,9 +248,6 @@
     /// Records an answer of the store to a watch on objects of a kind; returns the age of the answer before.
     pub(crate) fn record_store_answer(&self, kind: &'static str, now: Uptime) -> Option<Duration> {
         let before = self.store_answers.lock().insert(kind, now);
-        if kind == D::TARGET_KIND {
-            self.check_targets_gap(before, now);
-        }
         self.store_service.lock().record_answer(now, self.min_outage());
         self.store_answered.notify_waiters();
         before.map(|at| now.saturating_sub(at))
@@ -258,17 +255,14 @@
 
     /// Records that the store had told another gateway at `at` what this one knows of the targets.
     pub(crate) fn record_relayed_targets(&self, at: Uptime) {
-        let before = {
-            let mut answers = self.store_answers.lock();
-            let last = answers.entry(D::TARGET_KIND).or_insert(at);
-            std::mem::replace(last, at.max(*last))
-        };
-        self.check_targets_gap(Some(before), at);
+        let mut answers = self.store_answers.lock();
+        let last = answers.entry(D::TARGET_KIND).or_insert(at);
+        *last = at.max(*last);
     }
 
-    /// Software versions may have come and gone unseen between two readings of the list that are far apart.
-    fn check_targets_gap(&self, before: Option<Uptime>, now: Uptime) {
-        if before.is_some_and(|at| now > at + targets::MAX_LIST_AGE) {
+    /// Software versions may have come and gone unseen before a list that is adopted when the one before, `recent`, is old.
+    pub(crate) fn check_targets_gap(&self, recent: &RecentChanges<Target>, now: Uptime) {
+        if recent.age(now).is_some_and(|age| age > targets::MAX_LIST_AGE) {
             self.on_targets_gap(now);
         }
     }
@@ -278,10 +272,11 @@
         self.versions.on_gap();
     }
 
-    /// Returns whether the list of targets was read recently enough to tell the software versions of targets.
+    /// Returns whether the list of targets is recent enough to tell the software versions of targets. Its age counts from
+    /// the question that it answers: an answer lies in the socket while the process stands still.
     pub(crate) fn has_current_targets(&self, now: Uptime) -> bool {
-        let read_at = self.store_answers.lock().get(D::TARGET_KIND).copied();
-        read_at.is_some_and(|read_at| now.saturating_sub(read_at) <= targets::MAX_LIST_AGE)
+        let age = self.target_changes.lock().age(now);
+        age.is_some_and(|age| age <= targets::MAX_LIST_AGE)
     }
 
     /// Records the era of the store from an answer. It falls when the store does not tell it any more, or is another one.
