Gateway: a gateway that does not reach the store has others store its origins

Its records were at two others, which reached the store and did not write them.

When a record is not in the store within the time for which the first event waits, a keeper of the record is asked to write it too, in its own slots. The request is a new one, so earlier gateways refuse it and nothing else changes.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -189,6 +189,7 @@
             | Request::ReadConfig(_)
             | Request::ReadStoreService
             | Request::RecordOrigin(_)
+            | Request::StoreOrigin(_)
             | Request::ReadOrigin(_)
             | Request::ReportCrash(_)
             | Request::ReadAnswers(_)
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -70,6 +70,7 @@
             | Request::ReadConfig(_)
             | Request::ReadStoreService
             | Request::RecordOrigin(_)
+            | Request::StoreOrigin(_)
             | Request::ReadOrigin(_)
             | Request::ReportCrash(_)
             | Request::ReadAnswers(_)
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -117,6 +117,7 @@
     let (is_kept, is_stored) = tokio::join!(send(shared, &record), written);
     if !is_stored {
         shared.metrics.origins_stored_late.add(1, &[]);
+        tokio::spawn(ask_to_store(shared.clone(), record.clone()));
     }
     if !is_kept {
         tracing::info!(
@@ -128,6 +129,17 @@
     }
 }
 
+/// Asks a gateway that may reach the store to write a record.
+async fn ask_to_store<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, record: Record) {
+    for keeper in shared.members.ranked(&digest::to_wire(record.key), KEEPERS, true) {
+        let message = to_message(&record, boottime::now());
+        match peers::record_origin(&keeper, message, true).await {
+            Ok(()) => return,
+            Err(err) => tracing::debug!(member = keeper.name, err, "origin of a stream not stored"),
+        }
+    }
+}
+
 /// Records that a stream has ended with its last event.
 pub(crate) fn on_end<D: Dialect, S>(shared: &Shared<D, S>, customer: Option<&str>, first: &str) {
     let until = boottime::now() + END_MARGIN;
@@ -143,7 +155,7 @@
         .map(|member| {
             let message = message.clone();
             // Runs on after the first answer, so that both keep the record.
-            tokio::spawn(async move { peers::record_origin(&member, message).await })
+            tokio::spawn(async move { peers::record_origin(&member, message, false).await })
         })
         .collect();
     let first = async {
@@ -290,14 +302,18 @@
     }
 }
 
-/// Keeps a record for another gateway.
-pub(crate) fn keep<D, S>(shared: &Shared<D, S>, message: StreamOrigin) -> bool {
+/// Keeps a record for another gateway, and writes it to the store if that one could not.
+pub(crate) fn keep<D, S>(shared: &Shared<D, S>, message: StreamOrigin, is_stored: bool) -> bool {
     let now = boottime::now();
     let Some(key) = digest::from_wire(&message.key) else { return false };
     let expires = now + Duration::from_millis(message.left_ms);
     let record =
         Record { key, customer: message.customer.clone(), origin: message.into(), expires };
-    shared.origins.table.lock().insert(record, false, now)
+    let is_kept = shared.origins.table.lock().insert(record.clone(), false, now);
+    if is_kept && is_stored {
+        shared.origins.queue.push(record);
+    }
+    is_kept
 }
 
 /// Answers the question of another gateway where a stream began.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -113,12 +113,14 @@
     }
 }
 
-/// Sends the record of a stream's origin to a gateway that is to keep it.
+/// Sends the record of a stream's origin to a gateway that is to keep it, or to write it to the store as well.
 pub(crate) async fn record_origin(
     keeper: &Member,
     origin: messages::StreamOrigin,
+    is_stored: bool,
 ) -> Result<(), String> {
-    match exchange(keeper, &Request::RecordOrigin(origin), origins::QUERY_TIMEOUT).await? {
+    let req = if is_stored { Request::StoreOrigin(origin) } else { Request::RecordOrigin(origin) };
+    match exchange(keeper, &req, origins::QUERY_TIMEOUT).await? {
         Reply::Accepted(true) => Ok(()),
         reply => Err(format!("unexpected reply {reply:?}")),
     }
@@ -413,7 +415,10 @@
                 replies.send(&Reply::Accepted(spread::grant_probe(shared, &key))).await?;
             }
             Request::RecordOrigin(origin) => {
-                replies.send(&Reply::Accepted(origins::keep(shared, origin))).await?;
+                replies.send(&Reply::Accepted(origins::keep(shared, origin, false))).await?;
+            }
+            Request::StoreOrigin(origin) => {
+                replies.send(&Reply::Accepted(origins::keep(shared, origin, true))).await?;
             }
             Request::ReadOrigin(query) => {
                 replies.send(&Reply::Origin(origins::answer(shared, &query))).await?;
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -2499,6 +2499,18 @@
 ///        }
 ///      },
 ///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "store_origin"
+///      ],
+///      "properties": {
+///        "store_origin": {
+///          "$ref": "#/definitions/StreamOrigin"
+///        }
+///      },
+///      "additionalProperties": false
 ///    }
 ///  ]
 ///}
@@ -2552,6 +2564,8 @@
     AskProbe(ProbeAsk),
     #[serde(rename = "read_targets")]
     ReadTargets(StoreVersion),
+    #[serde(rename = "store_origin")]
+    StoreOrigin(StreamOrigin),
 }
 impl ::std::convert::From<Heartbeat> for Request {
     fn from(value: Heartbeat) -> Self {
@@ -2628,11 +2642,6 @@
         Self::AskLimit(value)
     }
 }
-impl ::std::convert::From<StreamOrigin> for Request {
-    fn from(value: StreamOrigin) -> Self {
-        Self::RecordOrigin(value)
-    }
-}
 impl ::std::convert::From<OriginQuery> for Request {
     fn from(value: OriginQuery) -> Self {
         Self::ReadOrigin(value)
