--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -310,7 +310,9 @@
         shared.targets.restore_history(&read.set, now);
         tracing::info!(versions = read.set.iter().count(), "history of software versions restored");
     }
-    shared.versions.is_adopted.store(true, Ordering::Relaxed);
+    // At the first start of the system the set is about to be made.
+    let is_expected = read.object.is_none() && shared.settings().first_start;
+    shared.versions.is_adopted.store(!is_expected, Ordering::Relaxed);
     Ok(())
 }
 
