Gateway: versions are added to the set 5 s after they were listed, not up to 1 s later

A version is added for streams when it has been listed for 5 s; the check ran once a second, so streams began there up to a second late. It runs every 0.2 s now, on the few versions and not on all targets, and rests for 1 s after a failure.

--- a/crates/core/src/stream_origin.rs
+++ b/crates/core/src/stream_origin.rs
@@ -235,6 +235,14 @@
         listing.left_at.is_none().then_some(listing.since)
     }
 
+    /// Returns the versions that are listed, with their pools and since when.
+    pub fn listed(&self) -> impl Iterator<Item = (&Name, &SoftwareVersion, Uptime)> {
+        self.pools.iter().flat_map(|(pool, versions)| {
+            let listed = versions.iter().filter(|(_, listing)| listing.left_at.is_none());
+            listed.map(move |(version, listing)| (pool, version, listing.since))
+        })
+    }
+
     /// Returns whether targets of a pool with a version are listed.
     pub fn is_listed(&self, pool: &str, version: &str) -> bool {
         self.listed_since(pool, version).is_some()
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -31,7 +31,9 @@
 /// Interval between two reads for proofs; requests that wait meanwhile share one.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the set is maintained.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
+/// Delay after a failure.
+const MAINTENANCE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Interval between reads of the set for that.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(10);
 /// Minimum time for which a version has to be unused before it is removed.
@@ -258,7 +260,10 @@
         }
         match maintain(&shared, &mut review).await {
             Ok(()) | Err(Error::Conflict { .. }) => {}
-            Err(err) => on_failure(&shared, "software versions not maintained", &err),
+            Err(err) => {
+                on_failure(&shared, "software versions not maintained", &err);
+                time::sleep(MAINTENANCE_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -83,15 +83,10 @@
     /// Returns the software versions that are listed, and whether they have been for so long that all gateways with a current
     /// list know them.
     pub(crate) fn listed_versions(&self, now: Uptime) -> BTreeMap<PoolVersion, bool> {
-        let list = self.list.lock();
         let versions = self.versions.lock();
-        let is_known = |target: &Target| {
-            let since = versions.listed_since(&target.pool, &target.version);
-            since.is_some_and(|since| since + MAX_LIST_AGE <= now)
-        };
-        let listed = list
-            .all()
-            .map(|target| ((target.pool.clone(), target.version.clone()), is_known(target)));
+        let listed = versions.listed().map(|(pool, version, since)| {
+            ((pool.clone(), version.clone()), since + MAX_LIST_AGE <= now)
+        });
         listed.collect()
     }
 
