Gateways keep what they refuse in the store

Quarantines, with the probes that had been granted, were kept in the memory of gateways only.

They are now one object in the store, written by the gateway that decides, grants a probe or ends one, conditionally on what it has read, and by the watchers when it lacks something, after a restore too. A gateway reads it before it takes requests, or takes them 1 s after its start. An entry that the object lacks has ended, and no state that a gateway has known is taken over from it, so an end is not undone by an older copy. Nothing is written without quarantines.

Crashes below a verdict are not kept: a request needs its three again, a part its four to six.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 pub mod detector;
 pub mod quarantine;
+pub mod stored;
 
 use sha2::{Digest as _, Sha256};
 
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -7,7 +7,9 @@
 use marigold_core::poison::answers::{Answer, AnswerLog};
 use marigold_core::poison::detector::{Detector, Evidence, LostRun, Review, Verdict};
 use marigold_core::poison::quarantine::{Entry, IDLE_TIME, Key, MAX_PROBES, Quarantines};
+use marigold_core::poison::stored::{self, Seen};
 use marigold_core::poison::{self, Identity};
+use marigold_schema::messages::{Quarantine, StoredQuarantines};
 
 fn secs(secs: u64) -> Uptime {
     Duration::from_secs(secs)
@@ -628,3 +630,119 @@
     assert!(quarantines.all().count() <= 256);
     assert!(quarantines.find("pool", &names(&["bad-999"]), secs(1_000)).is_some());
 }
+
+/// Returns what a gateway knows that has read the store when it started.
+fn restored(stored: &StoredQuarantines, now: Uptime) -> Quarantines {
+    let mut quarantines = Quarantines::default();
+    for entry in stored::decode(stored, now) {
+        quarantines.merge(entry, now);
+    }
+    quarantines
+}
+
+fn message() -> Quarantine {
+    quarantined(&["bad"], secs(1)).1.to_message(secs(1))
+}
+
+#[test]
+fn stored_quarantine_keeps_probes_versions_and_times() {
+    let (mut quarantines, entry) = quarantined(&["bad"], secs(1_000));
+    let listed = set(&["v1"]);
+    let granted = quarantines.grant_probe(&entry.key, &listed, secs(1_002)).expect("a probe");
+    let stored = stored::encode(&quarantines, secs(1_012));
+    // The uptime of the new process is lower.
+    let mut restored = restored(&stored, secs(1));
+    let found = restored.find("pool", &names(&["bad", "x"]), secs(2)).expect("an entry").clone();
+    let next_probe = secs(1) + granted.next_probe - secs(1_012);
+    let expires = secs(1) + granted.expires - secs(1_012);
+    assert_eq!(found, Entry { next_probe, expires, ..granted });
+    assert_eq!(restored.digest(), quarantines.digest());
+    assert!(restored.grant_probe(&entry.key, &listed, next_probe - secs(1)).is_none());
+    assert!(restored.grant_probe(&entry.key, &listed, next_probe).is_some());
+    assert!(restored.grant_probe(&entry.key, &listed, next_probe + secs(600)).is_none());
+}
+
+#[test]
+fn stored_end_wins_over_an_older_verdict() {
+    let (mut quarantines, _) = quarantined(&["bad"], secs(1));
+    let verdict = stored::encode(&quarantines, secs(2));
+    quarantines.release("pool", &names(&["bad"]), "v1", secs(3));
+    let end = stored::encode(&quarantines, secs(4));
+    assert!(!stored::is_same(&verdict, &end));
+    for stored in [[&verdict, &end], [&end, &verdict]] {
+        let mut restored = restored(stored[0], secs(1));
+        for entry in stored::decode(stored[1], secs(2)) {
+            restored.merge(entry, secs(2));
+        }
+        assert!(restored.find("pool", &names(&["bad"]), secs(3)).is_none());
+        assert_eq!(restored.digest(), quarantines.digest());
+    }
+}
+
+/// What a gateway had forgotten as ended came back from the store, and was refused for another hour.
+#[test]
+fn seen_quarantine_does_not_come_back() {
+    let (mut quarantines, _) = quarantined(&["bad"], secs(1));
+    let mut seen = Seen::default();
+    let verdict = stored::decode(&stored::encode(&quarantines, secs(2)), secs(2)).remove(0);
+    assert!(seen.is_new(&verdict));
+    seen.record(&quarantines);
+    assert!(!seen.is_new(&verdict));
+    let end = quarantines.release("pool", &names(&["bad"]), "v1", secs(3)).remove(0);
+    assert!(seen.is_new(&end));
+    seen.record(&quarantines);
+    quarantines.remove_expired(secs(3) + IDLE_TIME);
+    assert!(quarantines.is_empty());
+    seen.record(&quarantines);
+    assert!(!seen.is_new(&verdict) && !seen.is_new(&end));
+    // A later verdict of another gateway is taken over.
+    assert!(seen.is_new(&Entry { revision: end.revision + 1, ..verdict }));
+}
+
+#[test]
+fn stored_quarantines_with_absurd_numbers_are_bounded() {
+    let mut entry = message();
+    (entry.left_ms, entry.next_probe_ms) = (u64::MAX, u64::MAX);
+    (entry.probes, entry.crashes) = (u32::MAX, u32::MAX);
+    let mut later = message();
+    later.pool = "other".to_owned();
+    later.revision = u64::MAX;
+    let mut ended = message();
+    (ended.pool, ended.left_ms) = ("third".to_owned(), 0);
+    let mut empty = message();
+    empty.suspects.clear();
+    let stored = StoredQuarantines { entries: vec![entry, later, ended, empty] };
+    let now = Uptime::MAX / 2;
+    let mut restored = restored(&stored, now);
+    let entry = restored.find("pool", &names(&["bad"]), now).expect("an entry").clone();
+    assert_eq!(restored.all().count(), 1);
+    assert!(entry.time_to_probe(now) <= IDLE_TIME);
+    assert!(entry.expires <= now + IDLE_TIME);
+    assert!(restored.grant_probe(&entry.key, &set(&["v1"]), now + secs(3_000)).is_none());
+    assert!(restored.grant_probe(&entry.key, &set(&["v2"]), now + secs(3_000)).is_some());
+    assert_eq!(restored.release("pool", &names(&["bad"]), "v2", now + secs(3_001)).len(), 1);
+}
+
+#[test]
+fn stored_quarantines_are_bounded_in_size() {
+    let mut quarantines = Quarantines::default();
+    for number in 0..256 {
+        let suspects: Vec<String> =
+            (0..256).map(|part| format!("part {number:03}{part:03}{}", "\"".repeat(58))).collect();
+        let suspects: Vec<&str> = suspects.iter().map(String::as_str).collect();
+        quarantines.blame("pool", &verdict(&suspects, secs(1)), secs(1));
+    }
+    assert_eq!(quarantines.all().count(), 256);
+    let stored = stored::encode(&quarantines, secs(2));
+    let text = serde_json::to_string(&stored).expect("text");
+    assert!(!stored.entries.is_empty());
+    assert!(text.len() <= stored::MAX_STORED_BYTES, "{} bytes", text.len());
+    let mut small = Quarantines::default();
+    for number in 0..256 {
+        small.blame("pool", &verdict(&[&format!("part {number:064}")], secs(1)), secs(1));
+    }
+    let stored = stored::encode(&small, secs(2));
+    let text = serde_json::to_string(&stored).expect("text");
+    println!("{} quarantines of one part: {} bytes", stored.entries.len(), text.len());
+    assert_eq!(stored.entries.len(), 256);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 use crate::peers::PeerHandler;
 use crate::ports::{CallersPort, MetricsPort, ReadinessPort};
 use crate::shared::Shared;
-use crate::{discovery, origins, peers, stage_runner};
+use crate::{discovery, origins, peers, poison, stage_runner};
 
 /// Time from a stop request to the closing of connections. The load balancer removes a gateway after two failed
 /// readiness checks, one a second, and opens new connections until then.
@@ -71,6 +71,7 @@
         tokio::spawn(origins::stored::run(shared.clone()));
         tokio::spawn(origins::stored::inherit_forever(shared.clone()));
         tokio::spawn(origins::versions::maintain_forever(shared.clone()));
+        tokio::spawn(poison::stored::run(shared.clone()));
         tracing::info!(name = settings.name, incarnation = shared.incarnation, callers = %callers.addr(), "gateway started");
         Ok(Self { shared, callers, _readiness: readiness, _metrics: metrics, _links: links, close })
     }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -2,10 +2,11 @@
 //!
 //! Each gateway reports what it lost to a crash to the detectors of the pool, two gateways that are chosen by hashing. Each of
 //! them finds what the crashes have in common, asks all gateways for answers that speak against it, and tells all of
-//! them what to refuse. Gateways compare what they refuse with each poll.
+//! them what to refuse. Gateways compare what they refuse with each poll, and keep it in the store.
 
 pub(crate) mod evidence;
 pub(crate) mod spread;
+pub(crate) mod stored;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use marigold_schema::messages::CrashReport;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::dialect::Dialect;
 use crate::shared::Shared;
@@ -55,6 +57,10 @@
     quarantines: Mutex<Quarantines>,
     /// Whether there are quarantines, so that requests do not take the lock without them.
     has_quarantines: AtomicBool,
+    /// Notified when this gateway has changed a quarantine.
+    changed: Notify,
+    /// Whether the quarantines have been read from the store.
+    is_restored: AtomicBool,
 }
 
 impl Poison {
@@ -65,6 +71,11 @@
         result
     }
 
+    /// Returns whether the quarantines have been read from the store.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.is_restored.load(Ordering::Relaxed)
+    }
+
     /// Returns the quarantine of a request with `suspects`, in ascending order.
     pub(crate) fn find(&self, pool: &str, suspects: &[Suspect], now: Uptime) -> Option<Entry> {
         if suspects.is_empty() || !self.has_quarantines.load(Ordering::Relaxed) {
@@ -137,7 +148,7 @@
     if let Some(renewed) =
         shared.poison.change(|quarantines| quarantines.renew(&entry.key, boottime::now()))
     {
-        spread::announce(shared, &renewed);
+        spread::send(shared, &renewed);
     }
 }
 
--- a/crates/gateway/src/poison/spread.rs
+++ b/crates/gateway/src/poison/spread.rs
@@ -14,8 +14,14 @@
 use crate::peers;
 use crate::shared::Shared;
 
-/// Sends the new state of a quarantine to all gateways. Those that miss it find the difference with their next polls.
+/// Sends a quarantine that this gateway has changed to all gateways, and has it written to the store.
 pub(super) fn announce<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, entry: &Entry) {
+    shared.poison.changed.notify_one();
+    send(shared, entry);
+}
+
+/// Sends the new state of a quarantine to all gateways. Those that miss it find the difference with their next polls.
+pub(super) fn send<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>, entry: &Entry) {
     let list =
         QuarantineList { entries: vec![entry.to_message(boottime::now())], is_complete: false };
     for member in shared.members.others() {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -155,6 +155,9 @@
     let Some(adopted) = shared.adopted.load_full() else {
         return Err(not_ready("no configuration is known yet"));
     };
+    if !shared.knows_quarantines() {
+        return Err(not_ready("it is not known yet which requests crash targets"));
+    }
     guard.version = adopted.routing.version;
     let (route, customer) = authorize(shared, &adopted, host, parts.uri.path(), &head)?;
     guard.route.clone_from(&route.name);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -31,7 +31,7 @@
 use crate::odd_objects::OddObjects;
 use crate::origins::Origins;
 use crate::origins::versions::Versions;
-use crate::poison::Poison;
+use crate::poison::{self, Poison};
 use crate::request;
 use crate::stage_runner::ReleaseQueue;
 use crate::target_relay;
@@ -386,9 +386,16 @@
         !self.is_stopping()
             && *self.has_targets.borrow()
             && self.adopted.load().is_some()
+            && self.knows_quarantines()
             && self.confidence(boottime::now()).can_accept_keys
     }
 
+    /// Returns whether it is known what the gateways refused before this one started, or that took too long.
+    pub(crate) fn knows_quarantines(&self) -> bool {
+        self.poison.is_restored()
+            || boottime::now() >= self.started + poison::stored::RESTORE_TIMEOUT
+    }
+
     /// Marks the start of reading the configuration from a peer; returns false if another read is running.
     pub(crate) fn start_config_read(&self) -> bool {
         !self.is_reading_config.swap(true, Ordering::Relaxed)
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -3088,6 +3088,32 @@
     ///Version of the target's software.
     pub version: ::std::string::String,
 }
+///Quarantines as kept in the store, with times from when they were written.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Quarantines as kept in the store, with times from when they were written.",
+///  "type": "object",
+///  "required": [
+///    "entries"
+///  ],
+///  "properties": {
+///    "entries": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Quarantine"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoredQuarantines {
+    pub entries: ::std::vec::Vec<Quarantine>,
+}
 ///Stream in the store.
 ///
 /// <details><summary>JSON schema</summary>
