Gateway: a gateway that has just started reads the set before it begins streams

A gateway that starts knows none of the versions in the set until it has read it, so its first streams began at any listed version, and added one that had begun nothing: from then on the streams of before had no proof. The set is now read before the first stream of a pool begins, 0.5 s at most.

--- a/crates/core/src/stream_origin/version_set.rs
+++ b/crates/core/src/stream_origin/version_set.rs
@@ -1,7 +1,7 @@
 //! Software versions that may have begun streams which are still awaited, as the store holds them.
 //!
-//! A version is added before any gateway uses targets with it, so the set proves at any time that a pool has had one version.
-//! It is removed in two steps: it is marked, and leaves when the same mark has been seen for longer than streams live.
+//! A version is added before any gateway begins a stream there, so the set proves at any time where streams began that are
+//! awaited. It is removed in two steps: it is marked, and leaves when the same mark has been seen for longer than streams live.
 //! Whoever uses the version again takes the mark away first.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -104,7 +104,8 @@
 }
 
 impl Review {
-    /// Returns the set as it should be, if that differs from `set`, which was read with `revision`. `recent` are the versions that had targets in the last `window`, which is longer than streams live.
+    /// Returns the set as it should be, if that differs from `set`, which was read with `revision`. `recent` are the
+    /// versions that had targets in the last `window`, which is longer than streams live.
     pub fn revise(
         &mut self,
         set: &VersionSet,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -298,6 +298,9 @@
             if let Some(entry) = self.quarantine() {
                 return Err(self.quarantine_failure(&entry));
             }
+            if self.is_beginning() {
+                versions::ensure_adopted(&self.shared, &self.pool).await;
+            }
             let now = boottime::now();
             let is_denied_often = denied.len() >= MAX_DENIED_ASKS;
             let mut held = self.shared.limits.held(self.demand(), is_denied_often, now);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -3,8 +3,8 @@
 //! While a pool has had several versions, the gateway that begins a stream sends a record of its origin to other gateways
 //! before the caller gets the first event. A gateway at which a caller takes the stream up finds the record there, also
 //! when the first gateway is gone; when all were lost at once, they read the records from the store. Without a record the
-//! stream goes on only if the pool provably had one version. For that proof a version begins streams only after all gateways
-//! with a current list of targets know it.
+//! stream goes on only if the pool had one version, according to the store or, if that cannot tell, to the gateways that are
+//! asked.
 
 pub(crate) mod stored;
 pub(crate) mod versions;
@@ -37,8 +37,8 @@
 const MAX_SENT_AT_ONCE: usize = 16;
 /// Number of other gateways that are asked for a record. More than keep it, since memberships may differ.
 const ASKED: usize = 4;
-/// Time for which the first event waits until another gateway and the store have the record. A fraction of the delay from which an event
-/// counts as late.
+/// Time for which the first event waits until another gateway and the store have the record. A fraction of the delay from
+/// which an event counts as late.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a question for a record.
 pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -26,7 +26,7 @@
 /// Kind of the objects, one for each era of the store, named by its number. A restored store gives its revisions out again, so
 /// the condition of a write that was sent before could hold by chance.
 const KIND: &str = "stream-versions";
-/// Time for which a stream waits until its version is in the set, if no target has a version that is.
+/// Time for which a stream waits until the set is read, or its version is in it.
 const ADD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between two reads for proofs; requests that wait meanwhile share one.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
@@ -159,6 +159,24 @@
     tracing::warn!(%err, "{message}");
 }
 
+/// Reads the set before the first stream begins in a pool, so that it begins at a version that is in use.
+pub(crate) async fn ensure_adopted<D: Dialect, S: Store>(shared: &Shared<D, S>, pool: &str) {
+    let is_done =
+        || shared.versions.has_added(pool) || shared.versions.is_adopted.load(Ordering::Relaxed);
+    if is_done() {
+        return;
+    }
+    let _guard = shared.versions.adding.lock().await;
+    if is_done() {
+        return;
+    }
+    match time::timeout(ADD_TIMEOUT, adopt(shared)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(err)) => on_failure(shared, "software versions in the store not read", &err),
+        Err(_) => tracing::warn!("software versions in the store not read in time"),
+    }
+}
+
 /// Adds a version to the set, before a stream begins there.
 pub(crate) async fn ensure_added<D: Dialect, S: Store>(
     shared: &Shared<D, S>,
