--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,3 +38,4 @@
 pub mod target_limit;
 pub mod targets;
 pub mod view;
+pub mod write_pace;
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -332,7 +332,11 @@
                 return Ok(publish_accepted(shared, head.revision, proposal).await);
             }
             Err(Error::Conflict { .. }) => continue,
-            Err(err @ (Error::Unavailable { .. } | Error::HistoryExpired { .. })) => {
+            Err(
+                err @ (Error::Unavailable { .. }
+                | Error::TooManyCalls { .. }
+                | Error::HistoryExpired { .. }),
+            ) => {
                 return Err(Rejected::Unknown(err.to_string()));
             }
             Err(err @ Error::TooLarge { .. }) => {
--- a/crates/gateway/src/origins/stored.rs
+++ b/crates/gateway/src/origins/stored.rs
@@ -11,6 +11,7 @@
 
 use marigold_core::ids::{KeyDigest, Name, Uptime};
 use marigold_core::stream_origin::{Record, stored};
+use marigold_core::write_pace::WritePace;
 use marigold_objects::{Error, Expect, Object, Store, Version};
 use marigold_process::boottime;
 use marigold_schema::messages::StoredStreams;
@@ -60,6 +61,7 @@
     written: watch::Sender<Ticket>,
     /// Whether the last write has failed.
     is_failing: AtomicBool,
+    pace: Mutex<WritePace>,
 }
 
 impl Queue {
@@ -127,7 +129,7 @@
 /// Returns the interval between two writes of this gateway.
 fn write_interval<D: Dialect, S: Store>(shared: &Shared<D, S>) -> Duration {
     let writes_per_s = shared.settings().store_writes_per_s * WRITE_SHARE;
-    Duration::from_secs_f64(shared.members.alive_count() as f64 / writes_per_s.max(1.0))
+    shared.origins.queue.pace.lock().interval(shared.members.alive_count(), writes_per_s)
 }
 
 /// Takes over the records of this gateway's run before, then writes new ones, until the process ends.
@@ -196,6 +198,7 @@
     match shared.store.put(kind, &slot.name, text, expect).await {
         Ok(version) => {
             slot.version = version;
+            shared.origins.queue.pace.lock().on_accepted();
             shared.origins.queue.is_failing.store(false, Ordering::Relaxed);
             shared.origins.queue.written.send_replace(last);
             tracing::debug!(streams = records.len(), slot = slot.name, "origins of streams stored");
@@ -206,11 +209,14 @@
                 // A write without an answer has taken effect, or another gateway has deleted the slot.
                 slot.version = found;
                 slot.keys.clear();
-            } else {
-                shared.origins.queue.is_failing.store(true, Ordering::Relaxed);
-                on_failure(shared, "origins of streams not stored", &err);
-                retry_delay().await;
+                return;
             }
+            if matches!(err, Error::TooManyCalls { .. }) {
+                shared.origins.queue.pace.lock().on_refused();
+            }
+            shared.origins.queue.is_failing.store(true, Ordering::Relaxed);
+            on_failure(shared, "origins of streams not stored", &err);
+            retry_delay().await;
         }
     }
 }
@@ -233,6 +239,9 @@
             }
             Err(Error::Conflict { found, .. }) => slot.version = found,
             Err(err) => {
+                if matches!(err, Error::TooManyCalls { .. }) {
+                    shared.origins.queue.pace.lock().on_refused();
+                }
                 on_failure(shared, "origins of streams that have ended not deleted", &err);
                 return;
             }
--- a/crates/objects/src/error.rs
+++ b/crates/objects/src/error.rs
@@ -28,6 +28,14 @@
         /// Error that the service or the connection reported.
         reason: String,
     },
+    /// The service refused the call because there are too many; nothing was done.
+    #[error("{step} {object}: the platform's object service has too many calls")]
+    TooManyCalls {
+        /// Operation that failed.
+        step: &'static str,
+        /// Kind and name of the object.
+        object: String,
+    },
     /// The service has discarded the changes since the version at which a watch starts, or was restored from an older copy
     /// since; all objects of the kind have to be read again.
     #[error("watching {kind}: the history since version {after} was discarded")]
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -283,6 +283,7 @@
         }
         Err(Error::Conflict { .. }) => conflict(platform, kind, name).await,
         Err(Error::TooLarge { .. }) => empty_response(Status::PayloadTooLarge),
+        Err(Error::TooManyCalls { .. }) => empty_response(Status::TooManyRequests),
         Err(Error::Unavailable { .. } | Error::HistoryExpired { .. }) => {
             empty_response(Status::ServiceUnavailable)
         }
