Routes: a configuration whose customers have no key admits no request

Cause: an empty map of keys stood both for "no customers, so no keys are asked for" and for "customers without a key". The configuration has no customers or a list of them now, which may be empty.

customer_needs_no_key_without_keys_in_the_configuration demanded the fault: it meant a configuration without customers and used a list without keys for it. Three tests replace it, one for each of the two cases and one for an unknown key without customers.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -164,17 +164,19 @@
     pub pools: BTreeMap<Name, Pool>,
     /// Routes by host in lower case, longest path prefix first.
     by_host: HashMap<String, Vec<Arc<Route>>>,
-    customers: HashMap<String, Arc<Customer>>,
+    /// Customers by key; `None` if the configuration has no customers, which differs from customers without keys.
+    customers: Option<HashMap<String, Arc<Customer>>>,
 }
 
 impl Routing {
-    /// Builds the indices; `keys` pairs each key with its customer.
+    /// Builds the indices. `keys` pairs each key with its customer; it is `None` only if the configuration has no
+    /// customers at all, so that requests need no keys.
     pub fn new(
         version: u64,
         limits: Limits,
         pools: Vec<Pool>,
         routes: Vec<Route>,
-        keys: Vec<(String, Arc<Customer>)>,
+        keys: Option<Vec<(String, Arc<Customer>)>>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
@@ -184,7 +186,8 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let pools = pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect();
-        Self { version, limits, pools, by_host, customers: keys.into_iter().collect() }
+        let customers = keys.map(|keys| keys.into_iter().collect());
+        Self { version, limits, pools, by_host, customers }
     }
 
     /// Returns the route of `host` with the longest matching path prefix; the host may include a port.
@@ -199,22 +202,24 @@
             .ok_or(Refusal::NoRoute)
     }
 
-    /// Returns the customer of a request; none if the configuration has no customers, or if the route is public and the
-    /// key is missing or unknown.
+    /// Returns the customer of a request; none if the route is public and the key is missing or unknown, or if the
+    /// configuration has no customers and the request no key.
+    ///
+    /// A key that the configuration does not have is refused without customers too: it may have been removed.
     ///
     /// # Errors
-    /// Fails with [`Refusal::UnknownKey`] if the route needs a key and the request has no known one.
+    /// Fails with [`Refusal::UnknownKey`] if the request has no known key although the route needs one, or has an unknown one.
     pub fn customer(&self, route: &Route, key: Option<&str>) -> Result<Option<Arc<Customer>>> {
-        let customer = key.and_then(|key| self.customers.get(key)).cloned();
-        if self.customers.is_empty() || (route.is_public && customer.is_none()) {
-            return Ok(None);
+        let customer = key.and_then(|key| self.customers.as_ref()?.get(key)).cloned();
+        if customer.is_some() || route.is_public || (key.is_none() && !self.needs_key(route)) {
+            return Ok(customer);
         }
-        customer.map(Some).ok_or(Refusal::UnknownKey)
+        Err(Refusal::UnknownKey)
     }
 
     /// Returns whether requests of a route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
-        !route.is_public && !self.customers.is_empty()
+        !route.is_public && self.customers.is_some()
     }
 
     /// Returns all routes in no particular order.
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -24,6 +24,11 @@
 }
 
 fn routing(routes: Vec<Route>, keys: &[&str]) -> Routing {
+    routing_with(routes, Some(keys))
+}
+
+/// Returns a configuration with a customer that has `keys`, or without customers.
+fn routing_with(routes: Vec<Route>, keys: Option<&[&str]>) -> Routing {
     let limits = Limits {
         max_head_bytes: 16_384,
         max_body_bytes: 1_000_000,
@@ -31,7 +36,8 @@
         idle_timeout: Duration::from_secs(15),
     };
     let customer = Arc::new(Customer { name: "treasury".to_owned(), priority: Some(1) });
-    let keys = keys.iter().map(|key| ((*key).to_owned(), customer.clone())).collect();
+    let key = |key: &&str| ((*key).to_owned(), customer.clone());
+    let keys = keys.map(|keys| keys.iter().map(key).collect());
     Routing::new(7, limits, Vec::new(), routes, keys)
 }
 
@@ -64,14 +70,35 @@
     assert_eq!(routing.customer(&public, None).map(name), Ok(None));
 }
 
+/// Once a customer had lost its last key, requests ran with keys that had been removed, with unknown ones and without one.
 #[test]
-fn customer_needs_no_key_without_keys_in_the_configuration() {
+fn customer_without_keys_needs_a_key_that_does_not_exist() {
     let routing = routing(vec![], &[]);
+    let private = route("private", "/a/");
+    assert!(routing.needs_key(&private));
+    for key in [None, Some("removed"), Some("")] {
+        assert_eq!(routing.customer(&private, key).err(), Some(Refusal::UnknownKey), "{key:?}");
+    }
+}
+
+#[test]
+fn customer_needs_no_key_without_customers_in_the_configuration() {
+    let routing = routing_with(vec![], None);
+    let private = route("private", "/a/");
+    assert_eq!(routing.customer(&private, None).map(|customer| customer.is_none()), Ok(true));
+    assert!(!routing.needs_key(&private));
+}
+
+/// A key that is not in the configuration may have been removed, with the list of customers or before.
+#[test]
+fn customer_unknown_key_is_refused_without_customers_in_the_configuration() {
+    let routing = routing_with(vec![], None);
+    let public = Route { is_public: true, ..route("public", "/p/") };
     assert_eq!(
-        routing.customer(&route("a", "/a/"), None).map(|customer| customer.is_none()),
-        Ok(true)
+        routing.customer(&route("private", "/a/"), Some("removed")).err(),
+        Some(Refusal::UnknownKey)
     );
-    assert!(!routing.needs_key(&route("a", "/a/")));
+    assert!(routing.customer(&public, Some("removed")).is_ok());
 }
 
 #[test]
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -162,6 +162,11 @@
 
     /// Writes the next version of the configuration to the store, with `api_keys` as the keys of the customer.
     pub async fn configure(&mut self, api_keys: &[&str]) {
+        self.configure_with(api_keys, |_| {}).await;
+    }
+
+    /// As [`GatewayCluster::configure`], with `change` applied to the configuration before it is written.
+    pub async fn configure_with(&mut self, api_keys: &[&str], change: impl FnOnce(&mut Value)) {
         self.version += 1;
         let route = |name: &str, kind: &str, attempts: u32, extra: Value| {
             let mut route = json!({
@@ -177,7 +182,7 @@
             { "service": "stage", "after": [], "bytes": 1000 },
             { "service": "stage", "after": [0], "bytes": 1000 },
         ]);
-        let config = json!({
+        let mut config = json!({
             "version": self.version,
             "routes": [
                 route("read", "idempotent", 2, json!({})),
@@ -196,6 +201,7 @@
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
             "tenants": [{ "name": "treasury", "apiKeys": api_keys }],
         });
+        change(&mut config);
         self.put("config", "main", &config).await;
     }
 
