Configuration: a value that does not fit costs its own entry, not the version

Cause: the document was read as one typed value, so each field was a condition of all others; what a version removes stayed in force with any value that its type did not hold. Routes, services, tenants, keys and limits are read one by one now, numbers in any notation, cut to the range of their type. It is logged and counted.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -1,6 +1,7 @@
 //! Routes of callers' requests and keys of customers, from one version of the configuration.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,7 +28,7 @@
 pub struct Stage {
     /// Pool that runs the stage.
     pub pool: Name,
-    /// Indices of the stages whose results it needs; all are smaller than its own index.
+    /// Indices of the stages whose results it needs; no stage needs its own result, directly or through others.
     pub after: Vec<usize>,
     /// Approximate size of one result, in bytes.
     pub result_bytes: u64,
@@ -87,6 +88,40 @@
     }
 }
 
+/// Longest time; a longer one would mean the same, and overflow where times are added.
+const MAX_TIME: Duration = Duration::from_secs(366 * 24 * 3_600);
+
+/// Converts a time in seconds, up to a year; returns `None` if it is negative.
+pub fn bounded_time(seconds: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(seconds.min(MAX_TIME.as_secs_f64())).ok()
+}
+
+/// Returns pools with their weights as whole numbers, without those that have no positive weight. Weights that are no whole
+/// numbers, or too large, are scaled together.
+pub fn whole_weights(pools: Vec<(Name, f64)>) -> Vec<(Name, u32)> {
+    let largest = pools.iter().map(|(_, weight)| *weight).fold(0.0, f64::max).min(f64::MAX);
+    let is_whole = |weight: f64| weight <= f64::from(u32::MAX) && weight.fract() == 0.0;
+    let is_exact = pools.iter().all(|(_, weight)| *weight <= 0.0 || is_whole(*weight));
+    let scale = if is_exact { 1.0 } else { f64::from(u32::MAX) / largest };
+    let scaled = pools.into_iter().map(|(pool, weight)| (pool, (weight * scale).ceil() as u32));
+    scaled.filter(|(_, weight)| *weight > 0).collect()
+}
+
+/// Returns whether each stage needs only stages that exist, and none its own result, directly or through others.
+pub fn is_acyclic(stages: &[Stage]) -> bool {
+    let mut is_done = vec![false; stages.len()];
+    // Each round completes at least one stage of an acyclic plan.
+    for _ in 0..stages.len() {
+        for (index, stage) in stages.iter().enumerate() {
+            let mut needed = stage.after.iter();
+            if needed.all(|needed| is_done.get(*needed).copied().unwrap_or_default()) {
+                is_done[index] = true;
+            }
+        }
+    }
+    is_done.into_iter().all(|is_done| is_done)
+}
+
 /// Parameters of a pool that runs stages in batched calls.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StagePool {
@@ -142,6 +177,18 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for Limits {
+    /// Limits in place of those that the configuration does not tell.
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// Reason for the refusal of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -151,6 +198,59 @@
     /// The route needs a key from the configuration, and the request has none or another one.
     #[error("the route needs a known key")]
     UnknownKey,
+    /// The configuration of the route or of the key's customer cannot be used.
+    #[error("the configuration of this route or key cannot be used")]
+    Unusable,
+}
+
+/// Keys with their customers; a customer that cannot be used is `None`.
+pub type Keys = Vec<(String, Option<Arc<Customer>>)>;
+
+/// Content of one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Content {
+    /// Version number set by the operator.
+    pub version: u64,
+    /// Limits on callers' connections.
+    pub limits: Limits,
+    /// Pools that requests and stages are sent to.
+    pub pools: Vec<Pool>,
+    /// Routes that can be used.
+    pub routes: Vec<Route>,
+    /// Hosts and path prefixes of routes that cannot be used.
+    pub unusable_routes: Vec<(String, String)>,
+    /// Whether there are routes whose host or path prefix cannot be read.
+    pub has_unread_routes: bool,
+    /// Keys of the customers; `None` only if the configuration has no customers at all, so that requests need no keys.
+    pub keys: Option<Keys>,
+    /// Whether there are keys that cannot be read.
+    pub has_unread_keys: bool,
+    /// What cannot be used, and why.
+    pub defects: Vec<String>,
+}
+
+impl Content {
+    /// Adds the reason why a part cannot be used.
+    pub fn add_defect(&mut self, part: &str, reason: impl fmt::Display) {
+        self.defects.push(format!("{part}: {reason}"));
+    }
+}
+
+/// Route of a host.
+#[derive(Clone, Debug)]
+enum HostRoute {
+    Usable(Arc<Route>),
+    /// Path prefix of a route that cannot be used.
+    Unusable(String),
+}
+
+impl HostRoute {
+    fn path_prefix(&self) -> &str {
+        match self {
+            Self::Usable(route) => &route.path_prefix,
+            Self::Unusable(path_prefix) => path_prefix,
+        }
+    }
 }
 
 /// One version of the configuration, indexed for look-ups.
@@ -162,44 +262,60 @@
     pub limits: Limits,
     /// Pools by name.
     pub pools: BTreeMap<Name, Pool>,
+    /// What the configuration has that cannot be used, and why.
+    pub defects: Vec<String>,
     /// Routes by host in lower case, longest path prefix first.
-    by_host: HashMap<String, Vec<Arc<Route>>>,
+    by_host: HashMap<String, Vec<HostRoute>>,
+    has_unread_routes: bool,
     /// Customers by key; `None` if the configuration has no customers, which differs from customers without keys.
-    customers: Option<HashMap<String, Arc<Customer>>>,
+    customers: Option<HashMap<String, Option<Arc<Customer>>>>,
+    has_unread_keys: bool,
 }
 
-impl Routing {
-    /// Builds the indices. `keys` pairs each key with its customer; it is `None` only if the configuration has no
-    /// customers at all, so that requests need no keys.
-    pub fn new(
-        version: u64,
-        limits: Limits,
-        pools: Vec<Pool>,
-        routes: Vec<Route>,
-        keys: Option<Vec<(String, Arc<Customer>)>>,
-    ) -> Self {
-        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        for route in routes {
-            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+impl From<Content> for Routing {
+    fn from(content: Content) -> Self {
+        let usable = content.routes.into_iter().map(|route| {
+            let host = route.host.clone();
+            (host, HostRoute::Usable(Arc::new(route)))
+        });
+        let unusable = content.unusable_routes.into_iter();
+        let unusable = unusable.map(|(host, prefix)| (host, HostRoute::Unusable(prefix)));
+        let mut by_host: HashMap<String, Vec<HostRoute>> = HashMap::new();
+        for (host, route) in usable.chain(unusable) {
+            by_host.entry(host.to_ascii_lowercase()).or_default().push(route);
         }
         for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix().len()));
+        }
+        let pools = content.pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect();
+        Self {
+            version: content.version,
+            limits: content.limits,
+            pools,
+            defects: content.defects,
+            by_host,
+            has_unread_routes: content.has_unread_routes,
+            customers: content.keys.map(|keys| keys.into_iter().collect()),
+            has_unread_keys: content.has_unread_keys,
         }
-        let pools = pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect();
-        let customers = keys.map(|keys| keys.into_iter().collect());
-        Self { version, limits, pools, by_host, customers }
     }
+}
 
+impl Routing {
     /// Returns the route of `host` with the longest matching path prefix; the host may include a port.
     ///
     /// # Errors
-    /// Fails with [`Refusal::NoRoute`] if none matches.
+    /// Fails with [`Refusal::NoRoute`] if none matches, and with [`Refusal::Unusable`] if the one that matches cannot be used or
+    /// may be among those that cannot be read.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-        self.by_host
-            .get(&host)
-            .and_then(|routes| routes.iter().find(|route| path.starts_with(&route.path_prefix)))
-            .ok_or(Refusal::NoRoute)
+        let mut routes = self.by_host.get(&host).into_iter().flatten();
+        match routes.find(|route| path.starts_with(route.path_prefix())) {
+            Some(HostRoute::Usable(route)) => Ok(route),
+            Some(HostRoute::Unusable(_)) => Err(Refusal::Unusable),
+            None if self.has_unread_routes => Err(Refusal::Unusable),
+            None => Err(Refusal::NoRoute),
+        }
     }
 
     /// Returns the customer of a request; none if the route is public and the key is missing or unknown, or if the
@@ -208,13 +324,18 @@
     /// A key that the configuration does not have is refused without customers too: it may have been removed.
     ///
     /// # Errors
-    /// Fails with [`Refusal::UnknownKey`] if the request has no known key although the route needs one, or has an unknown one.
+    /// Fails with [`Refusal::UnknownKey`] if the request has no known key although the route needs one, or has an unknown one, and
+    /// with [`Refusal::Unusable`] if its key may be known and the customer cannot be used.
     pub fn customer(&self, route: &Route, key: Option<&str>) -> Result<Option<Arc<Customer>>> {
-        let customer = key.and_then(|key| self.customers.as_ref()?.get(key)).cloned();
-        if customer.is_some() || route.is_public || (key.is_none() && !self.needs_key(route)) {
-            return Ok(customer);
+        let known = key.and_then(|key| self.customers.as_ref()?.get(key));
+        match known {
+            Some(Some(customer)) => Ok(Some(customer.clone())),
+            Some(None) => Err(Refusal::Unusable),
+            None if route.is_public => Ok(None),
+            None if key.is_none() && self.customers.is_none() => Ok(None),
+            None if key.is_some() && self.has_unread_keys => Err(Refusal::Unusable),
+            None => Err(Refusal::UnknownKey),
         }
-        Err(Refusal::UnknownKey)
     }
 
     /// Returns whether requests of a route need a key.
@@ -222,9 +343,12 @@
         !route.is_public && self.customers.is_some()
     }
 
-    /// Returns all routes in no particular order.
+    /// Returns all routes that can be used, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.by_host.values().flatten()
+        self.by_host.values().flatten().filter_map(|route| match route {
+            HostRoute::Usable(route) => Some(route),
+            HostRoute::Unusable(_) => None,
+        })
     }
 }
 
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_core::routes::{Customer, Limits, Refusal, Repeat, Route, Routing, Stage};
+use marigold_core::routes::{self, Content, Customer, Refusal, Repeat, Route, Routing, Stage};
 
 fn route(name: &str, path_prefix: &str) -> Route {
     Route {
@@ -29,16 +29,10 @@
 
 /// Returns a configuration with a customer that has `keys`, or without customers.
 fn routing_with(routes: Vec<Route>, keys: Option<&[&str]>) -> Routing {
-    let limits = Limits {
-        max_head_bytes: 16_384,
-        max_body_bytes: 1_000_000,
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
     let customer = Arc::new(Customer { name: "treasury".to_owned(), priority: Some(1) });
-    let key = |key: &&str| ((*key).to_owned(), customer.clone());
+    let key = |key: &&str| ((*key).to_owned(), Some(customer.clone()));
     let keys = keys.map(|keys| keys.iter().map(key).collect());
-    Routing::new(7, limits, Vec::new(), routes, keys)
+    Content { version: 7, routes, keys, ..Content::default() }.into()
 }
 
 #[test]
@@ -117,3 +111,51 @@
     let route = Route { stages, ..route("chain", "/c/") };
     assert_eq!(route.last_stages().collect::<Vec<_>>(), [0, 3]);
 }
+
+fn stages(after: &[&[usize]]) -> Vec<Stage> {
+    let stage =
+        |after: &&[usize]| Stage { pool: "p".to_owned(), after: after.to_vec(), result_bytes: 1 };
+    after.iter().map(stage).collect()
+}
+
+#[test]
+fn is_acyclic_any_order() {
+    assert!(routes::is_acyclic(&stages(&[])));
+    assert!(routes::is_acyclic(&stages(&[&[], &[0], &[0, 1]])));
+    assert!(routes::is_acyclic(&stages(&[&[1], &[2], &[]])));
+    assert!(!routes::is_acyclic(&stages(&[&[0]])));
+    assert!(!routes::is_acyclic(&stages(&[&[1], &[0]])));
+    assert!(!routes::is_acyclic(&stages(&[&[], &[2]])));
+}
+
+#[test]
+fn whole_weights_are_scaled_only_when_needed() {
+    let weights = |weights: &[f64]| {
+        let pools = weights.iter().map(|weight| ("p".to_owned(), *weight)).collect();
+        let pools = routes::whole_weights(pools);
+        pools.into_iter().map(|(_, weight)| weight).collect::<Vec<_>>()
+    };
+    assert_eq!(weights(&[90.0, 0.0, 10.0, -1.0]), [90, 10]);
+    assert!(weights(&[]).is_empty());
+    for split in [[0.9, 0.1], [9e12, 1e12]] {
+        let scaled = weights(&split);
+        let share = f64::from(scaled[0]) / (f64::from(scaled[0]) + f64::from(scaled[1]));
+        assert!(scaled[1] > 0 && (0.89..0.91).contains(&share), "{scaled:?}");
+    }
+    assert_eq!(weights(&[f64::INFINITY, 1.0]), [u32::MAX, 1]);
+}
+
+#[test]
+fn route_that_cannot_be_used_hides_shorter_prefixes() {
+    let content = Content {
+        routes: vec![route("short", "/")],
+        unusable_routes: vec![("RENT.example".to_owned(), "/a/".to_owned())],
+        ..Content::default()
+    };
+    let routing = Routing::from(content.clone());
+    assert_eq!(routing.route("rent.example", "/a/x").err(), Some(Refusal::Unusable));
+    assert!(routing.route("rent.example", "/b/").is_ok());
+    assert_eq!(routing.route("other.example", "/a/").err(), Some(Refusal::NoRoute));
+    let routing = Routing::from(Content { has_unread_routes: true, ..content });
+    assert_eq!(routing.route("other.example", "/a/").err(), Some(Refusal::Unusable));
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -16,7 +16,7 @@
 use crate::dialect::Dialect;
 use crate::odd_objects;
 use crate::origins;
-use crate::shared::Shared;
+use crate::shared::{Adoption, Shared};
 
 /// Kind of the objects in which gateways register their addresses.
 const MEMBER_KIND: &str = "gateways";
@@ -196,7 +196,7 @@
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
             match &object.value {
                 Some(text) => {
-                    if shared.adopt(text, "store") {
+                    if shared.adopt(text, "store") == Adoption::InForce {
                         origins::on_config(shared);
                     }
                 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
     pub(crate) odd_objects: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
     pub(crate) config_version: Gauge<u64>,
+    pub(crate) config_defects: Gauge<u64>,
     pub(crate) store_era: Gauge<u64>,
     pub(crate) target_versions: Gauge<u64>,
     pub(crate) stream_origins: Gauge<u64>,
@@ -65,6 +66,10 @@
                 .u64_gauge("marigold_config_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            config_defects: meter
+                .u64_gauge("marigold_config_defects")
+                .with_description("Parts of the configuration in force that cannot be used")
+                .build(),
             stream_origins: meter
                 .u64_gauge("marigold_stream_origins")
                 .with_description("Records of where streams began")
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 use crate::origins;
 use crate::poison;
 use crate::poison::{evidence, spread};
-use crate::shared::Shared;
+use crate::shared::{Adoption, Shared};
 use crate::target_relay::{self, Step};
 
 /// Interval at which peers are polled.
@@ -341,7 +341,7 @@
         let reply = exchange(member, &Request::ReadConfig(own_version), CONFIG_TIMEOUT).await;
         shared.end_config_read();
         let Reply::Config(config) = reply? else { return Err("unexpected reply".to_owned()) };
-        if shared.adopt(&config.text, "peer") {
+        if shared.adopt(&config.text, "peer") == Adoption::InForce {
             origins::on_config(shared);
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -27,6 +27,8 @@
 
 /// Retry-After of a request that the gateway cannot decide on, because it has no or only a stale configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-After of a request whose route or customer cannot be used until the operator changes the configuration.
+const UNUSABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum size of a target's response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Size up to which a response is gathered in any case, in bytes; the rest draws on [`MAX_GATHERED_BYTES`].
@@ -237,6 +239,9 @@
         let status = match refusal {
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::Unusable => {
+                return Failure::refused(refusal.to_string(), UNUSABLE_RETRY_AFTER);
+            }
         };
         Failure::new(status, refusal.to_string())
     };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,19 @@
 use crate::target_relay;
 use crate::targets::{self, TargetTable};
 
+/// Number of parts of a configuration that cannot be used which are logged; the metric counts all.
+const MAX_LOGGED_DEFECTS: usize = 32;
+
+/// What became of a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Adoption {
+    InForce,
+    /// The one in force is as new, or newer.
+    NotNewer,
+    /// It cannot be read, so that nothing is known of its version.
+    Invalid,
+}
+
 /// The configuration in force.
 pub(crate) struct AdoptedConfig {
     /// Text of the object in the store, for peers that cannot reach the store.
@@ -176,11 +189,12 @@
         self.adopted.load().as_ref().map_or(0, |adopted| adopted.routing.version)
     }
 
-    /// Puts a configuration in force if it is valid and newer than the current one; returns whether it did.
-    pub(crate) fn adopt(&self, text: &str, source: &str) -> bool {
+    /// Puts a configuration in force if it is valid and newer than the current one. Parts of it that cannot be used are left
+    /// out.
+    pub(crate) fn adopt(&self, text: &str, source: &str) -> Adoption {
         let in_force = self.config_version();
         match D::parse_routing(text) {
-            Ok(routing) if routing.version <= in_force => false,
+            Ok(routing) if routing.version <= in_force => Adoption::NotNewer,
             Ok(routing) => {
                 tracing::info!(
                     version = routing.version,
@@ -188,6 +202,14 @@
                     source,
                     "configuration put in force"
                 );
+                for defect in routing.defects.iter().take(MAX_LOGGED_DEFECTS) {
+                    tracing::error!(
+                        version = routing.version,
+                        defect,
+                        "part of the configuration cannot be used"
+                    );
+                }
+                self.metrics.config_defects.record(routing.defects.len() as u64, &[]);
                 *self.newer_config_since.lock() = None;
                 self.metrics.config_version.record(routing.version, &[]);
                 self.durations.retain(&routing);
@@ -195,11 +217,11 @@
                 self.adopted
                     .store(Some(Arc::new(AdoptedConfig { text: text.to_owned(), routing })));
                 self.members.set_pools(self.pools_with_stages());
-                true
+                Adoption::InForce
             }
             Err(err) => {
                 tracing::error!(in_force, source, %err, "invalid configuration; keeping the one in force");
-                false
+                Adoption::Invalid
             }
         }
     }
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -120,7 +120,7 @@
 
     /// Returns the stages with pieces that depend on a stage.
     fn dependents(&self, stage: usize) -> impl Iterator<Item = usize> {
-        (stage + 1..self.route.stages.len()).filter(move |next| {
+        (0..self.route.stages.len()).filter(move |next| {
             self.route.stages[*next].after.contains(&stage) && self.pieces(*next) > 0
         })
     }
--- a/crates/objects/src/json_parts.rs
+++ b/crates/objects/src/json_parts.rs
@@ -4,8 +4,9 @@
 
 use std::fmt;
 
-use serde::de::{DeserializeOwned, Visitor};
+use serde::de::{DeserializeOwned, Error as _, Visitor};
 use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 
 /// Result of this module; the error is the reason why a text cannot be read.
 pub type Result<T> = std::result::Result<T, String>;
@@ -38,6 +39,7 @@
 }
 
 /// Members of a JSON object, as `"name": value`. The values are not checked.
+#[derive(Default)]
 pub struct Members<'a>(Vec<&'a [u8]>);
 
 impl<'a> Members<'a> {
@@ -49,15 +51,22 @@
         split(text, *b"{}").map(Self).ok_or_else(|| "no object in JSON".to_owned())
     }
 
-    /// Returns the value of a member if there is exactly one with this name.
-    pub fn get(&self, name: &str) -> Option<&'a [u8]> {
-        let value = |member: &&'a [u8]| {
+    fn values(&self, name: &str) -> impl Iterator<Item = &'a [u8]> {
+        self.0.iter().filter_map(move |member| {
             let member = member.trim_ascii().strip_prefix(b"\"")?.strip_prefix(name.as_bytes())?;
             Some(member.strip_prefix(b"\"")?.trim_ascii_start().strip_prefix(b":")?.trim_ascii())
-        };
-        let mut values = self.0.iter().filter_map(value);
-        let first = values.next();
-        first.filter(|_| values.next().is_none())
+        })
+    }
+
+    /// Returns the value of a member if there is exactly one with this name.
+    pub fn get(&self, name: &str) -> Option<&'a [u8]> {
+        let mut values = self.values(name);
+        values.next().filter(|_| values.next().is_none())
+    }
+
+    /// Returns whether there are members with this name.
+    pub fn has(&self, name: &str) -> bool {
+        self.values(name).next().is_some()
     }
 
     /// Reads a value.
@@ -79,6 +88,19 @@
     }
 }
 
+/// Reads a value as an `E` and converts it.
+///
+/// # Errors
+/// When the text is no such JSON, or the value cannot be converted.
+pub fn read_as<E, T>(text: &[u8]) -> Result<T>
+where
+    E: DeserializeOwned,
+    T: TryFrom<E, Error: fmt::Display>,
+{
+    let value: E = serde_json::from_slice(text).map_err(|err| err.to_string())?;
+    value.try_into().map_err(|err: T::Error| err.to_string())
+}
+
 /// Decoded bytes of a JSON string, which need not be UTF-8.
 #[derive(Debug)]
 pub struct StringBytes(pub Vec<u8>);
@@ -102,3 +124,37 @@
         deserializer.deserialize_bytes(BytesVisitor)
     }
 }
+
+/// JSON number in any notation, also one that is out of the range of the number types, such as `1e999`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Number {
+    value: f64,
+    whole: Option<u64>,
+}
+
+impl Number {
+    /// Returns the value, infinite if it is out of range.
+    pub fn value(self) -> f64 {
+        self.value
+    }
+
+    /// Returns the exact value if it is a whole number that fits; `1.0` and `1e3` are whole numbers.
+    pub fn whole(self) -> Option<u64> {
+        self.whole
+    }
+}
+
+impl<'de> Deserialize<'de> for Number {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        let raw = Box::<RawValue>::deserialize(deserializer)?;
+        let text = raw.get();
+        if !text.starts_with(|c: char| c == '-' || c.is_ascii_digit()) {
+            return Err(D::Error::custom(format!("`{text:.40}` is no number")));
+        }
+        let value: f64 = text.parse().map_err(D::Error::custom)?;
+        // 2^64, the first value that does not fit.
+        let is_whole = value.fract() == 0.0 && (0.0..18_446_744_073_709_551_616.0).contains(&value);
+        let whole = text.parse().ok().or(is_whole.then_some(value as u64));
+        Ok(Self { value, whole })
+    }
+}
