Configuration: a version that cannot be read does not prove the one before

Cause: a gateway recorded each answer of the store as a proof that the version in force is the newest, also the answer whose object it had just failed to read. Such an answer proves nothing now, until the object can be read; nine tenths of the revocation bound later, requests that need a key are refused as without the store, and the gateway is not ready.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -193,10 +193,15 @@
     }
 
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, _after: Version, sent: Uptime) {
+        let is_unread = &shared.is_stored_config_unread;
+        let mut newest = Version::default();
         for object in changes.objects.iter().filter(|object| object.name == D::CONFIG_NAME) {
+            newest = object.version;
             match &object.value {
                 Some(text) => {
-                    if shared.adopt(text, "store") == Adoption::InForce {
+                    let adoption = shared.adopt(text, "store");
+                    is_unread.store(adoption == Adoption::Invalid, Ordering::Relaxed);
+                    if adoption == Adoption::InForce {
                         origins::on_config(shared);
                     }
                 }
@@ -206,7 +211,14 @@
                 ),
             }
         }
-        shared.freshness.lock().record_proof(sent);
+        let mut unreadable = changes.unreadable.iter();
+        if unreadable.any(|odd| odd.name.as_deref() == Some(D::CONFIG_NAME) && odd.version > newest)
+        {
+            is_unread.store(true, Ordering::Relaxed);
+        }
+        if !is_unread.load(Ordering::Relaxed) {
+            shared.freshness.lock().record_proof(sent);
+        }
         shared.is_store_reachable.store(true, Ordering::Relaxed);
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,6 +100,8 @@
     pub(crate) store_service_merged: Notify,
     /// Notified at each answer of the store to a watch.
     pub(crate) store_answered: Notify,
+    /// Whether the configuration in the store cannot be read, so that it may be newer than the one in force.
+    pub(crate) is_stored_config_unread: AtomicBool,
     /// Whether the store answered the last call for the configuration.
     pub(crate) is_store_reachable: AtomicBool,
     /// Whether the store was restored from an older copy since the list of targets was read.
@@ -156,6 +158,7 @@
             store_era: watch::Sender::default(),
             store_service_merged: Notify::new(),
             store_answered: Notify::new(),
+            is_stored_config_unread: AtomicBool::new(false),
             is_store_reachable: AtomicBool::new(false),
             has_unread_restore: AtomicBool::new(false),
             is_reading_config: AtomicBool::new(false),
