--- a/crates/objects/src/json_parts.rs
+++ b/crates/objects/src/json_parts.rs
@@ -132,6 +132,12 @@
     whole: Option<u64>,
 }
 
+impl Default for Number {
+    fn default() -> Self {
+        Self { value: 0.0, whole: Some(0) }
+    }
+}
+
 impl Number {
     /// Returns the value, infinite if it is out of range.
     pub fn value(self) -> f64 {
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -14,3 +14,15 @@
         .with_context(|| format!("reading settings {}", path.display()))?;
     toml::from_str(&text).with_context(|| format!("parsing settings {}", path.display()))
 }
+
+/// Parses a rate on the command line; an empty text is none.
+///
+/// # Errors
+/// When the text is no positive number.
+pub fn parse_rate(text: String) -> Result<Option<f64>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let rate = text.parse().ok().filter(|rate: &f64| rate.is_finite() && *rate > 0.0);
+    rate.map(Some).ok_or_else(|| format!("`{text}` is no positive number"))
+}
