Gateway: a refusal proves something of the request that it names only

Seen by callers (report of other operators): "not run, try again" for requests that a replica ran (REFUSED), or that ran at a second one (TWICE). As told, on a kept connection, it cannot happen here, since each request has its own; but a refusal with another request's id, or with none, as the first bytes of a fresh connection was believed.

Cause: replies with Not-Executed or 421 were taken for proof without their id. They are foreign replies now, unless they bear the request's: 502 for what may run once, another target within the budget for the rest. What they say of the target (it leaves, it wants a pause) is not taken over.

The stand-ins' refusals had none and echo it now.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -370,8 +370,7 @@
             };
             let sent = sent(connection);
             let head = D::read_reply(response.status(), response.headers());
-            let is_own_reply =
-                head.not_run || (head.is_signed && head.request.as_deref() == Some(self.request()));
+            let is_own_reply = head.is_reply_to(self.request());
             let limit = match head.limit {
                 LimitStatement::Unlimited if !is_own_reply => LimitStatement::Unknown,
                 limit => limit,
@@ -380,7 +379,7 @@
             if is_own_reply {
                 announcements::observe(&self.shared.targets, &tracked, &head, now);
             }
-            if !head.not_run {
+            if !(head.not_run && is_own_reply) {
                 return Ok(Reply { sent, head, response });
             }
             self.runs -= 1;
@@ -447,9 +446,9 @@
 }
 
 impl Reply {
-    /// Returns whether this is a signed reply to the given request, not to an earlier one.
+    /// Returns whether this is a target's reply to the given request that is no refusal.
     pub(crate) fn is_reply_to(&self, request: &str) -> bool {
-        self.head.is_signed && self.head.request.as_deref() == Some(request)
+        !self.head.not_run && self.head.is_reply_to(request)
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -81,7 +81,7 @@
     pub request: Option<String>,
     /// Whether the reply carries the target's signature.
     pub is_signed: bool,
-    /// Whether the reply proves that the request did not run.
+    /// Whether the reply proves that the request it names did not run.
     pub not_run: bool,
     /// What the reply says about the target's limit.
     pub limit: LimitStatement,
@@ -91,6 +91,14 @@
     pub pause: Option<Duration>,
 }
 
+impl ReplyHead {
+    /// Returns whether this is a target's reply to the given request. A reply that names no request may be the one to an
+    /// earlier request, also if it is a refusal.
+    pub fn is_reply_to(&self, request: &str) -> bool {
+        (self.is_signed || self.not_run) && self.request.as_deref() == Some(request)
+    }
+}
+
 /// A unit of batched work: one part of a stage, sent to a target in a call together with other pieces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Piece {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -344,6 +344,7 @@
                 status = reply.response.status().as_u16(),
                 answers = reply.head.request,
                 is_signed = reply.head.is_signed,
+                not_run = reply.head.not_run,
                 "reply is unsigned or for another request"
             );
             if attempts.start_retry("foreign_reply").await {
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -66,6 +66,10 @@
     Hang,
     /// The replica runs the request and responds with a signed status 500.
     ServerError,
+    /// The replica runs the request and responds, after a refusal of another request.
+    ForeignRefusal,
+    /// The replica runs the request and responds, after a refusal that names no request.
+    UnnamedRefusal,
     /// The response has the `Attempt-Id` of another request.
     WrongAttemptId,
     /// The response has no signature.
@@ -354,12 +358,19 @@
             });
             let expected = run.headers.get("expect-instance").map_or("", String::as_str);
             if expected != self.id {
-                self.respond(421, &[("Instance-Id", &self.id.clone())], b"").await?;
+                let headers =
+                    [("Instance-Id", self.id.clone()), ("Attempt-Id", run.request.clone())];
+                let headers = headers.each_ref().map(|(name, value)| (*name, value.as_str()));
+                self.respond(421, &headers, b"").await?;
                 continue;
             }
             let pause = self.state.pause.lock().clone();
             if let Some(pause) = pause {
-                let headers = [("Not-Executed", "1"), ("Retry-After", pause.as_str())];
+                let headers = [
+                    ("Not-Executed", "1"),
+                    ("Retry-After", pause.as_str()),
+                    ("Attempt-Id", run.request.as_str()),
+                ];
                 self.respond(503, &headers, b"").await?;
                 continue;
             }
@@ -461,13 +472,14 @@
 
     async fn run_request(&mut self, run: Run) -> std::io::Result<()> {
         let fault = self.state.faults.lock().pop_front();
+        let refusal = [("Not-Executed", "1"), ("Attempt-Id", run.request.as_str())];
         match fault {
-            Some(Fault::NotExecuted) => {
-                return self.respond(503, &[("Not-Executed", "1")], b"").await;
-            }
-            Some(Fault::InputRemoved) => {
-                return self.respond(409, &[("Not-Executed", "1")], b"").await;
+            Some(Fault::NotExecuted) => return self.respond(503, &refusal, b"").await,
+            Some(Fault::InputRemoved) => return self.respond(409, &refusal, b"").await,
+            Some(Fault::ForeignRefusal) => {
+                self.respond(503, &[refusal[0], ("Attempt-Id", "other")], b"").await?;
             }
+            Some(Fault::UnnamedRefusal) => self.respond(503, &refusal[..1], b"").await?,
             _ => {}
         }
         self.state.runs.lock().push(run.clone());
