Streams: an answer without any event is the end of a stream only if a second target says so

Seen by callers (report of other operators): a stream that had broken off ended as if it were complete. Here, when the next target answered 200 without any event; each of four streams ended as whole after event 2 of 8, and so did streams that callers took up.

Cause: the end of a continuation was taken for the end of the stream. A target that is asked to go on after the last event answers in the same way, and no page marks a last event, so one answer tells nothing. A second target is asked now, within the route's attempts and the budget. If that is not possible the stream is broken off, or the take-up answered 502, so that callers know that it is not whole.

Evidence: stream_does_not_end_with_a_continuation_without_events (complete after [1, 2] before, broken off after) and stream_taken_up_without_events_is_asked_for_at_another_replica (an empty 200 before, events 3 to 8 after; a stream that has ended is still complete).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -37,6 +37,7 @@
     body: Incoming,
     splitter: Splitter,
     is_resumable: bool,
+    has_events: bool,
 }
 
 /// Next item of an [`EventStream`].
@@ -54,7 +55,8 @@
         last_event: Option<u64>,
         is_resumable: bool,
     ) -> Self {
-        Self { sent, body, splitter: Splitter::resume(last_event), is_resumable }
+        let splitter = Splitter::resume(last_event);
+        Self { sent, body, splitter, is_resumable, has_events: false }
     }
 
     /// Returns the id of the last complete event.
@@ -120,7 +122,10 @@
             };
             match self.splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
-                Ok(events) => return StreamItem::Events(events),
+                Ok(events) => {
+                    self.has_events = true;
+                    return StreamItem::Events(events);
+                }
                 Err(err) => return StreamItem::Broken(err.to_string()),
             }
         }
@@ -156,37 +161,47 @@
     attempts: &mut Attempts<D, S>,
     caller: &mpsc::Sender<Chunk>,
 ) -> &'static str {
+    // Whether a target has answered without an event where the stream goes on.
+    let mut is_end_claimed = false;
     loop {
-        match stream.next().await {
+        let reason = match stream.next().await {
             StreamItem::Events(events) => {
+                is_end_claimed = false;
                 if caller.send(Ok(events)).await.is_err() {
                     return "caller_left";
                 }
+                continue;
             }
-            StreamItem::End => {
+            StreamItem::End if stream.has_events || is_end_claimed => {
                 attempts.on_stream_end();
                 return "whole";
             }
+            // It may be the end, or the fault of a target; a second target knows.
+            StreamItem::End => {
+                is_end_claimed = true;
+                "the continuation has no event".to_owned()
+            }
             StreamItem::Broken(reason) => {
                 stream.on_failure();
                 crashes::on_break(&attempts.shared, stream.sent().tracked(), None);
-                let last_event = stream.last_event();
-                tracing::warn!(
-                    request = attempts.request(),
-                    target = stream.target(),
-                    software = stream.target_start().version,
-                    reason,
-                    last_event,
-                    "stream failed"
-                );
-                if !stream.is_resumable {
-                    return "broken";
-                }
-                match attempts.resume(last_event).await {
-                    Some(resumed) => *stream = resumed,
-                    None => return "broken",
-                }
+                reason
             }
+        };
+        let last_event = stream.last_event();
+        tracing::warn!(
+            request = attempts.request(),
+            target = stream.target(),
+            software = stream.target_start().version,
+            reason,
+            last_event,
+            "stream failed"
+        );
+        if !stream.is_resumable {
+            return "broken";
+        }
+        match attempts.resume(last_event).await {
+            Some(resumed) => *stream = resumed,
+            None => return "broken",
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -318,6 +318,12 @@
     Stream { head: http::response::Parts, first_events: Option<Bytes>, stream: EventStream },
 }
 
+impl TargetResponse {
+    fn is_empty_stream(&self) -> bool {
+        matches!(self, Self::Stream { first_events: None, .. })
+    }
+}
+
 async fn execute<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
@@ -328,6 +334,8 @@
     attempts.admit()?;
     // The answer of a target that failed, for the caller if no other target answers.
     let mut failed_answer = None;
+    // Whether a target has ended the stream without an event.
+    let mut is_end_claimed = false;
     loop {
         let sent = async {
             let results = attempts.run_stages(attempts.arrived).await?;
@@ -364,6 +372,22 @@
                 if let TargetResponse::Stream { first_events: Some(_), stream, .. } = &response {
                     attempts.record_origin(stream.target_start()).await;
                 }
+                if response.is_empty_stream()
+                    && attempts.route.repeat == Repeat::Resumable
+                    && !std::mem::replace(&mut is_end_claimed, true)
+                {
+                    let is_taken_up = attempts.head.last_event.is_some();
+                    if attempts.start_retry("empty_stream").await {
+                        if !is_taken_up {
+                            failed_answer = Some(response);
+                        }
+                        continue;
+                    }
+                    if is_taken_up {
+                        let reason = "no second target confirms that the stream has ended";
+                        return Err(Failure::new(StatusCode::BAD_GATEWAY, reason));
+                    }
+                }
                 let is_failed = matches!(
                     &response,
                     TargetResponse::Full { status, .. } if status.is_server_error()
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -76,6 +76,8 @@
     Unsigned,
     /// The connection closes before the end of the response; a stream ends within its third event.
     Truncated,
+    /// A stream ends within its third event, and one that continues another ends without any event, as if it were whole.
+    EmptyContinuation,
     /// The third event of a stream never ends, and grows by a byte now and then.
     Dripping,
     /// The head of the response never ends.
@@ -584,6 +586,9 @@
         let head = self.stream_head(headers);
         self.stream.write_all(head.as_bytes()).await?;
         let after = run.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        if fault == Some(Fault::EmptyContinuation) && after > 0 {
+            return self.stream.write_all(b"0\r\n\r\n").await;
+        }
         for id in after + 1..=self.options.events {
             let mut buf = [0; 1];
             tokio::select! {
@@ -592,7 +597,8 @@
                 () = time::sleep(self.options.response_delay) => {}
             }
             let mut event = format!("id: {id}\ndata: {} {id}\n\n", run.request);
-            let is_last = fault == Some(Fault::Truncated) && id == after + 3;
+            let is_cut = matches!(fault, Some(Fault::Truncated | Fault::EmptyContinuation));
+            let is_last = is_cut && id == after + 3;
             if fault == Some(Fault::Dripping) && id == after + 3 {
                 return self.drip().await;
             }
