Retries: gateways that are cut off from each other count as sharers of the reserve

The reserve of retries was divided by the gateways that respond, so gateways that reached the store and the targets, and not each other, spent it once each.

It is divided by those that may serve callers now: all but those that are being stopped or have been unresponsive for 30 s, which is what limits of targets count already.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -373,16 +373,20 @@
         member.map_or(Owner::Local, Owner::Remote)
     }
 
-    /// Returns which part of the gateways this one reaches, itself included. Those that have been unresponsive for long
-    /// and those that are being stopped do not count.
+    /// Returns which part of the gateways that serve callers this one reaches, itself included.
     pub(crate) fn reachable_part(&self, now: Uptime) -> f64 {
-        let state = self.state.lock();
-        let is_cut_off = |member: &&Member| {
+        self.alive_count() as f64 / self.serving_count(now) as f64
+    }
+
+    /// Returns the number of gateways that may serve callers, including this one and those that are cut off from it. Those that
+    /// have been unresponsive for long and those that are being stopped do not count.
+    pub(crate) fn serving_count(&self, now: Uptime) -> usize {
+        let is_cut_off = |member: &Member| {
             member.silent_since.is_some_and(|since| now < since + GONE_AFTER) && !member.is_leaving
         };
-        let cut_off = state.others.values().filter(is_cut_off).count();
-        let reached = 1 + state.others.values().filter(|member| member.is_alive()).count();
-        reached as f64 / (reached + cut_off) as f64
+        let state = self.state.lock();
+        let others = state.others.values();
+        1 + others.filter(|member| member.is_alive() || is_cut_off(member)).count()
     }
 
     /// Returns the owner of a pool.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -461,7 +461,7 @@
     pub(crate) fn withdraw_retry(&self, pool: &str) -> bool {
         let now = boottime::now();
         let limit = self.retry_limit(now);
-        let gateways = self.members.alive_count();
+        let gateways = self.members.serving_count(now);
         let mut budgets = self.budgets.lock();
         budgets.entry(pool.to_owned()).or_default().withdraw(now, &limit, gateways)
     }
