Configuration: the check of stages stops when no further stage can be done

Read again as a newcomer: the check went through all stages as often as there are stages. A change of an entry that the store refuses as one call too many is reported as not applied, which it is.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -109,17 +109,18 @@
 
 /// Returns whether each stage needs only stages that exist, and none its own result, directly or through others.
 pub fn is_acyclic(stages: &[Stage]) -> bool {
-    let mut is_done = vec![false; stages.len()];
-    // Each round completes at least one stage of an acyclic plan.
-    for _ in 0..stages.len() {
+    let mut done: HashSet<usize> = HashSet::new();
+    loop {
+        let before = done.len();
         for (index, stage) in stages.iter().enumerate() {
-            let mut needed = stage.after.iter();
-            if needed.all(|needed| is_done.get(*needed).copied().unwrap_or_default()) {
-                is_done[index] = true;
+            if stage.after.iter().all(|needed| done.contains(needed)) {
+                done.insert(index);
             }
         }
+        if done.len() == before {
+            return done.len() == stages.len();
+        }
     }
-    is_done.into_iter().all(|is_done| is_done)
 }
 
 /// Parameters of a pool that runs stages in batched calls.
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -332,13 +332,12 @@
                 return Ok(publish_accepted(shared, head.revision, proposal).await);
             }
             Err(Error::Conflict { .. }) => continue,
-            Err(
-                err @ (Error::Unavailable { .. }
-                | Error::TooManyCalls { .. }
-                | Error::HistoryExpired { .. }),
-            ) => {
+            Err(err @ (Error::Unavailable { .. } | Error::HistoryExpired { .. })) => {
                 return Err(Rejected::Unknown(err.to_string()));
             }
+            Err(err @ Error::TooManyCalls { .. }) => {
+                return Err(Rejected::NotApplied(err.to_string()));
+            }
             Err(err @ Error::TooLarge { .. }) => {
                 return Err(Rejected::Invalid(vec![err.to_string()]));
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -176,7 +176,7 @@
                 attempts.on_stream_end();
                 return "whole";
             }
-            // It may be the end, or the fault of a target; a second target knows.
+            // It may be the end, or a fault of the target, so a second one is asked.
             StreamItem::End => {
                 is_end_claimed = true;
                 "the continuation has no event".to_owned()
