--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -179,7 +179,7 @@
 }
 
 impl Default for Limits {
-    /// Limits in place of those that the configuration does not tell.
+    /// Limits before a configuration is known, and in place of those that it does not tell.
     fn default() -> Self {
         Self {
             max_head_bytes: 16 * 1024,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -1,10 +1,10 @@
 //! HTTP ports of a gateway: callers, readiness checks and metrics.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use marigold_core::routes::Limits;
 use marigold_objects::Store;
 
 use crate::dialect::Dialect;
@@ -13,24 +13,20 @@
 use crate::response::{self, Body};
 use crate::shared::Shared;
 
-/// Connection limits of the ports for readiness checks and metrics, and of the port for callers until a configuration
-/// is known.
-const DEFAULT_LIMITS: ConnectionLimits = ConnectionLimits {
-    max_head_bytes: 16 * 1024,
-    head_timeout: Duration::from_secs(3),
-    idle_timeout: Duration::from_secs(15),
-};
+impl From<Limits> for ConnectionLimits {
+    fn from(limits: Limits) -> Self {
+        let Limits { max_head_bytes, head_timeout, idle_timeout, .. } = limits;
+        Self { max_head_bytes, head_timeout, idle_timeout }
+    }
+}
 
 /// The port for callers' requests.
 pub(crate) struct CallersPort<D, S>(pub(crate) Arc<Shared<D, S>>);
 
 impl<D: Dialect, S: Store> Service for CallersPort<D, S> {
     fn limits(&self) -> ConnectionLimits {
-        self.0.adopted.load().as_ref().map_or(DEFAULT_LIMITS, |adopted| ConnectionLimits {
-            max_head_bytes: adopted.routing.limits.max_head_bytes,
-            head_timeout: adopted.routing.limits.head_timeout,
-            idle_timeout: adopted.routing.limits.idle_timeout,
-        })
+        let adopted = self.0.adopted.load();
+        adopted.as_ref().map_or_else(Limits::default, |adopted| adopted.routing.limits).into()
     }
 
     async fn call(&self, req: Request<Incoming>) -> Response<Body> {
@@ -43,7 +39,7 @@
 
 impl<D: Dialect, S: Store> Service for ReadinessPort<D, S> {
     fn limits(&self) -> ConnectionLimits {
-        DEFAULT_LIMITS
+        Limits::default().into()
     }
 
     async fn call(&self, req: Request<Incoming>) -> Response<Body> {
@@ -61,7 +57,7 @@
 
 impl<D: Dialect, S: Store> Service for MetricsPort<D, S> {
     fn limits(&self) -> ConnectionLimits {
-        DEFAULT_LIMITS
+        Limits::default().into()
     }
 
     async fn call(&self, _req: Request<Incoming>) -> Response<Body> {
