--- /dev/null
+++ b/crates/gateway/src/options.rs
@@ -0,0 +1,44 @@
+//! Command line of the gateway's program.
+
+use std::path::PathBuf;
+
+use marigold_process::settings;
+use marigold_schema::settings::GatewaySettings;
+
+/// Serves callers on the platform
+#[derive(Clone, Debug, bpaf::Bpaf)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Writes a second that the store takes; like the following options, overrides the setting of this name unless empty
+    #[bpaf(argument::<String>("RATE"), parse(settings::parse_rate), fallback(None))]
+    store_writes_per_s: Option<f64>,
+    /// Time within which the evacuation of a data centre has to be in force, in milliseconds
+    #[bpaf(argument::<String>("MS"), parse(settings::parse_rate), fallback(None))]
+    evacuation_ms: Option<f64>,
+    /// Memory that the process may use, in megabytes
+    #[bpaf(argument::<String>("MB"), parse(settings::parse_rate), fallback(None))]
+    memory_mb: Option<f64>,
+    /// Number of file descriptors that the process may open
+    #[bpaf(argument::<String>("COUNT"), parse(settings::parse_rate), fallback(None))]
+    max_open_files: Option<f64>,
+    /// Settings file in TOML
+    #[bpaf(positional("SETTINGS"))]
+    settings: PathBuf,
+}
+
+impl Options {
+    /// Reads the settings file and applies the other options.
+    ///
+    /// # Errors
+    /// When the file cannot be read or parsed.
+    pub fn read_settings(&self) -> anyhow::Result<GatewaySettings> {
+        let settings: GatewaySettings = settings::read(&self.settings)?;
+        Ok(GatewaySettings {
+            store_writes_per_s: self.store_writes_per_s.unwrap_or(settings.store_writes_per_s),
+            evacuation_ms: self.evacuation_ms.or(settings.evacuation_ms),
+            memory_mb: self.memory_mb.unwrap_or(settings.memory_mb),
+            max_open_files: self.max_open_files.unwrap_or(settings.max_open_files),
+            ..settings
+        })
+    }
+}
--- a/crates/schema/src/settings.rs
+++ b/crates/schema/src/settings.rs
@@ -274,11 +274,20 @@
 ///      "description": "Data centre of this gateway.",
 ///      "type": "string"
 ///    },
+///    "evacuation_ms": {
+///      "description": "Time within which the evacuation of a data centre has to be in force, in milliseconds; absent if data centres are not evacuated.",
+///      "type": "number"
+///    },
 ///    "first_start": {
 ///      "description": "Whether the whole system is started for the first time; a gateway that is started later is eligible to own pools only after a delay.",
 ///      "default": false,
 ///      "type": "boolean"
 ///    },
+///    "hedge_ratio": {
+///      "description": "Maximum number of hedged requests, as a fraction of the requests in a window that may be repeated; zero disables hedging.",
+///      "default": 0,
+///      "type": "number"
+///    },
 ///    "lapse_ms": {
 ///      "description": "Time for which a target that was removed from the list while the store was unavailable is still used, in milliseconds.",
 ///      "type": "integer",
@@ -292,6 +301,16 @@
 ///      "description": "Secret shared by all processes of the cluster.",
 ///      "type": "string"
 ///    },
+///    "max_open_files": {
+///      "description": "Number of file descriptors that the process may open.",
+///      "default": 3000,
+///      "type": "number"
+///    },
+///    "memory_mb": {
+///      "description": "Memory of the VM that the process may use, in megabytes (10^6 bytes).",
+///      "default": 120,
+///      "type": "number"
+///    },
 ///    "metrics_address": {
 ///      "description": "IP address and port that serves the metrics.",
 ///      "type": "string"
@@ -363,15 +382,27 @@
     pub cluster: ::std::string::String,
     ///Data centre of this gateway.
     pub data_centre: ::std::string::String,
+    ///Time within which the evacuation of a data centre has to be in force, in milliseconds; absent if data centres are not evacuated.
+    #[serde(default)]
+    pub evacuation_ms: ::std::option::Option<f64>,
     ///Whether the whole system is started for the first time; a gateway that is started later is eligible to own pools only after a delay.
     #[serde(default)]
     pub first_start: bool,
+    ///Maximum number of hedged requests, as a fraction of the requests in a window that may be repeated; zero disables hedging.
+    #[serde(default = "defaults::gateway_settings_hedge_ratio")]
+    pub hedge_ratio: f64,
     ///Time for which a target that was removed from the list while the store was unavailable is still used, in milliseconds.
     pub lapse_ms: u64,
     ///IP address and port for other gateways.
     pub link_address: ::std::string::String,
     ///Secret shared by all processes of the cluster.
     pub link_secret: ::std::string::String,
+    ///Number of file descriptors that the process may open.
+    #[serde(default = "defaults::gateway_settings_max_open_files")]
+    pub max_open_files: f64,
+    ///Memory of the VM that the process may use, in megabytes (10^6 bytes).
+    #[serde(default = "defaults::gateway_settings_memory_mb")]
+    pub memory_mb: f64,
     ///IP address and port that serves the metrics.
     pub metrics_address: ::std::string::String,
     ///Name of this gateway, unique in the cluster.
@@ -491,6 +522,15 @@
     {
         T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
     }
+    pub(super) fn gateway_settings_hedge_ratio() -> f64 {
+        0_f64
+    }
+    pub(super) fn gateway_settings_max_open_files() -> f64 {
+        3000_f64
+    }
+    pub(super) fn gateway_settings_memory_mb() -> f64 {
+        120_f64
+    }
     pub(super) fn gateway_settings_store_writes_per_s() -> f64 {
         400_f64
     }
