Evacuations: data centres that the operator evacuates get nothing new

Targets of such a data centre are not usable, for requests, retries, streams that go on and calls of pieces.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deadline;
 pub mod digest;
 pub mod duration_estimate;
+pub mod evacuation;
 pub mod events;
 pub mod fanout;
 pub mod freshness;
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -81,6 +81,8 @@
     held_until: Uptime,
     /// Starts of targets that have said that they leave, with the times.
     announced: BTreeMap<Start, Uptime>,
+    /// Data centres whose targets accept no requests.
+    evacuated: BTreeSet<Name>,
 }
 
 /// Id and start of a target.
@@ -121,6 +123,13 @@
         self.announced.insert(start_of(target), now).is_none()
     }
 
+    /// Sets the data centres that are evacuated; returns whether they have changed.
+    pub fn set_evacuated(&mut self, data_centres: BTreeSet<Name>) -> bool {
+        let is_changed = self.evacuated != data_centres;
+        self.evacuated = data_centres;
+        is_changed
+    }
+
     /// Removes a target that is missing from the platform's list.
     ///
     /// Records in the store expire during an outage and reappear with the next heartbeats of the targets. A target that
@@ -221,7 +230,10 @@
         let has_announced = |target: &Target| {
             !self.announced.is_empty() && self.announced.contains_key(&start_of(target))
         };
+        let is_evacuated = |target: &Target| self.evacuated.contains(&target.data_centre);
         let listed = self.listed.values().map(|listed| &listed.target);
-        listed.filter(move |target| !target.is_leaving && !has_announced(target))
+        listed.filter(move |target| {
+            !target.is_leaving && !has_announced(target) && !is_evacuated(target)
+        })
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -141,6 +141,8 @@
     const CONFIG_NAME: &'static str;
     /// Kind of the stored objects that describe the targets, one each.
     const TARGET_KIND: &'static str;
+    /// Kind of the stored objects whose names are the data centres that are evacuated.
+    const EVACUATION_KIND: &'static str;
     /// Path of the readiness check, which reports whether a gateway accepts callers.
     const READY_PATH: &'static str;
     /// Path of a call that runs pieces on a target.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Watches on the platform's store: the configuration, the targets, and the other gateways.
 
+mod evacuations;
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use opentelemetry::KeyValue;
 use tokio::time;
 
+pub(crate) use self::evacuations::merge as merge_evacuations;
 use crate::batcher;
 use crate::dialect::Dialect;
 use crate::odd_objects;
@@ -435,6 +438,9 @@
     tokio::spawn(watch_forever(shared.clone(), Config));
     tokio::spawn(watch_forever(shared.clone(), Targets));
     tokio::spawn(watch_forever(shared.clone(), Gateways));
+    if shared.settings().evacuation_ms.is_some() {
+        tokio::spawn(watch_forever(shared.clone(), evacuations::Evacuations));
+    }
     tokio::spawn(register(shared.clone()));
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod crashes;
 pub mod dialect;
 mod discovery;
+mod evacuations;
 pub mod gateway;
 mod head_timeout;
 mod http_server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) config_version: Gauge<u64>,
     pub(crate) config_defects: Gauge<u64>,
     pub(crate) store_era: Gauge<u64>,
+    pub(crate) evacuated_data_centres: Gauge<u64>,
     pub(crate) target_versions: Gauge<u64>,
     pub(crate) stream_origins: Gauge<u64>,
     pub(crate) streams_not_continued: Counter<u64>,
@@ -82,6 +83,10 @@
                 "marigold_origins_stored_late",
                 "Streams whose first event was passed on before the store had their origin",
             ),
+            evacuated_data_centres: meter
+                .u64_gauge("marigold_evacuated_data_centres")
+                .with_description("Data centres that are evacuated")
+                .build(),
             target_versions: meter
                 .u64_gauge("marigold_target_versions")
                 .with_description(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -226,6 +226,7 @@
         tracing::debug!(member = member.name, err, "changes of targets not read");
     }
     limits::merge_changed(&shared, facts.limits.clone(), sent);
+    discovery::merge_evacuations(&shared, facts.evacuations.as_ref(), sent);
     spread::sync(&shared, &member, facts.quarantines).await;
     if !shared.remaining_grace_period(boottime::now()).is_zero() {
         read_store_service(&shared, &member).await;
@@ -388,6 +389,7 @@
                 shared.members.put(facts.name, &facts.entry);
                 let earliest = boottime::now().saturating_sub(REPLY_TIMEOUT);
                 limits::merge_changed(shared, facts.limits, earliest);
+                discovery::merge_evacuations(shared, facts.evacuations.as_ref(), earliest);
                 replies.send(&Reply::Facts(shared.facts())).await?;
             }
             Request::ReadStoreService => {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -160,6 +160,9 @@
     if !shared.knows_quarantines() {
         return Err(not_ready("it is not known yet which requests crash targets"));
     }
+    if !shared.knows_evacuations() {
+        return Err(not_ready("it is not known yet which data centres are evacuated"));
+    }
     guard.version = adopted.routing.version;
     let (route, customer) = authorize(shared, &adopted, host, parts.uri.path(), &head)?;
     guard.route.clone_from(&route.name);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::batcher::Batcher;
 use crate::crashes::Crashes;
 use crate::dialect::Dialect;
+use crate::evacuations::Evacuations;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
 use crate::members::Members;
@@ -77,6 +78,7 @@
     pub(crate) targets: TargetTable,
     /// Changes of the list of targets, for other gateways.
     pub(crate) target_changes: Mutex<RecentChanges<Target>>,
+    pub(crate) evacuations: Evacuations,
     pub(crate) limits: Limits,
     pub(crate) crashes: Crashes,
     pub(crate) poison: Poison,
@@ -140,6 +142,7 @@
             freshness: Mutex::default(),
             targets: TargetTable::default(),
             target_changes: Mutex::default(),
+            evacuations: Evacuations::default(),
             limits: Limits::default(),
             crashes: Crashes::default(),
             poison: Poison::default(),
@@ -398,6 +401,7 @@
             limits: self.limits.changed(now),
             quarantines: self.poison.digest(),
             targets: target_relay::state(&self.target_changes.lock(), now),
+            evacuations: self.evacuations.message(now),
         }
     }
 
@@ -412,6 +416,7 @@
             && *self.has_targets.borrow()
             && self.adopted.load().is_some()
             && self.knows_quarantines()
+            && self.knows_evacuations()
             && self.confidence(boottime::now()).can_accept_keys
     }
 
@@ -421,6 +426,14 @@
             || boottime::now() >= self.started + poison::stored::RESTORE_TIMEOUT
     }
 
+    /// Returns whether the evacuated data centres are known, or it took too long to learn them.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        let now = boottime::now();
+        let Some(bound_ms) = self.settings().evacuation_ms else { return true };
+        let is_overdue = now >= self.started + Duration::from_secs_f64(bound_ms / 1_000.0);
+        self.evacuations.age(now).is_some() || is_overdue
+    }
+
     /// Marks the start of reading the configuration from a peer; returns false if another read is running.
     pub(crate) fn start_config_read(&self) -> bool {
         !self.is_reading_config.swap(true, Ordering::Relaxed)
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -679,6 +679,45 @@
     pub incarnation: u64,
     pub name: ::std::string::String,
 }
+///Data centres that the store lists as evacuated, the version of the store that the list reflects, and its age.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Data centres that the store lists as evacuated, the version of the store that the list reflects, and its age.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "data_centres",
+///    "version"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since the list was known to be the newest, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "data_centres": {
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "version": {
+///      "$ref": "#/definitions/StoreVersion"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EvacuationList {
+    ///Time since the list was known to be the newest, in milliseconds.
+    pub age_ms: u64,
+    pub data_centres: ::std::vec::Vec<::std::string::String>,
+    pub version: StoreVersion,
+}
 ///Call with an idempotency key, forwarded to an entry that is enrolled with the holder of the shard's licence.
 ///
 /// <details><summary>JSON schema</summary>
@@ -785,6 +824,10 @@
 ///      "description": "The gateway's registration, for peers that have not read it from the store; `settled` is current.",
 ///      "$ref": "#/definitions/GatewayEntry"
 ///    },
+///    "evacuations": {
+///      "description": "Data centres that are evacuated; absent before they are known.",
+///      "$ref": "#/definitions/EvacuationList"
+///    },
 ///    "leaving": {
 ///      "description": "Whether the gateway is being stopped.",
 ///      "type": "boolean"
@@ -823,6 +866,9 @@
     pub config_version: u64,
     ///The gateway's registration, for peers that have not read it from the store; `settled` is current.
     pub entry: GatewayEntry,
+    ///Data centres that are evacuated; absent before they are known.
+    #[serde(default)]
+    pub evacuations: ::std::option::Option<EvacuationList>,
     ///Whether the gateway is being stopped.
     pub leaving: bool,
     ///Limits of targets that have changed within the last seconds, as far as the gateway knows.
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -66,6 +66,8 @@
     /// Gateways by number.
     pub gateways: Vec<Gateway>,
     program: PathBuf,
+    /// Options of the gateways' command line.
+    options: Vec<String>,
     /// Folder of settings and logs; removed on drop unless `keeps_logs` is set or the thread panics.
     pub folder: PathBuf,
     /// Whether the folder is kept on drop.
@@ -102,6 +104,17 @@
 impl GatewayCluster {
     /// Starts a store, replicas and gateways, and waits until the gateways are ready.
     pub async fn start(program: &Path, name: &str, gateways: usize, replicas: usize) -> Self {
+        Self::start_with_options(program, name, gateways, replicas, &[]).await
+    }
+
+    /// As [`GatewayCluster::start`], with options of the gateways' command line.
+    pub async fn start_with_options(
+        program: &Path,
+        name: &str,
+        gateways: usize,
+        replicas: usize,
+        options: &[&str],
+    ) -> Self {
         let folder = std::env::temp_dir().join(format!("marigold-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder is created");
         let addr = process::free_addr();
@@ -114,6 +127,7 @@
             replica_relays: Vec::new(),
             gateways: Vec::new(),
             program: program.to_owned(),
+            options: options.iter().map(|option| (*option).to_owned()).collect(),
             folder,
             keeps_logs: false,
             version: 0,
@@ -244,6 +258,32 @@
         }
     }
 
+    /// Publishes the replicas with a number, of both pools, in another data centre.
+    pub async fn move_replicas(&self, number: usize, data_centre: &str) {
+        let stage_id = self.stage_replicas[number].options.id.clone();
+        let id = self.replicas[number].id().borrow().clone();
+        for id in id.into_iter().chain([stage_id]) {
+            let entry = {
+                let written = self.written.lock().expect("no panic under the lock");
+                written.get(&("servers".to_owned(), id.clone())).cloned().flatten()
+            };
+            if let Some(mut entry) = entry {
+                entry["zone"] = json!(data_centre);
+                self.put("servers", &id, &entry).await;
+            }
+        }
+    }
+
+    /// Asks the gateways to send nothing more to a data centre.
+    pub async fn evacuate(&self, data_centre: &str) {
+        self.put("evacuations", data_centre, &json!({})).await;
+    }
+
+    /// Takes an evacuation back.
+    pub async fn end_evacuation(&self, data_centre: &str) {
+        remove(&self.platform, &self.written, "evacuations", data_centre).await;
+    }
+
     /// Sets the state with which a replica comes back after a crash, or that it does not.
     fn set_state_after_crash(&self, number: usize, state: Option<&str>) {
         let mut states = self.states_after_crash.lock().expect("no panic under the lock");
@@ -331,7 +371,8 @@
 
     fn start_process(&self, name: &str, settings: &Path) -> Process {
         let log = self.folder.join(format!("{name}.log"));
-        Process::start(name, &self.program, &[settings.display().to_string()], &log)
+        let args = self.options.iter().cloned().chain([settings.display().to_string()]);
+        Process::start(name, &self.program, &Vec::from_iter(args), &log)
     }
 
     /// Starts a new process for a gateway, on the same ports.
