Placement: gateways report to each other what they have in flight

Polls carry the counts, watchers answer with the sums, and the bound of a prompt's engine works with them.

--- a/crates/core/src/router/load.rs
+++ b/crates/core/src/router/load.rs
@@ -100,6 +100,11 @@
         self.since_report.store(0, Ordering::Relaxed);
     }
 
+    /// Returns the number of own calls in flight.
+    pub fn own(&self) -> u32 {
+        self.own.load(Ordering::Relaxed)
+    }
+
     /// Returns the load estimate at `now`.
     pub fn snapshot(&self, now: Uptime) -> LoadSnapshot {
         let own = self.own.load(Ordering::Relaxed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod http_server;
 mod learned_durations;
 mod limits;
+mod load_reports;
 mod members;
 mod metrics;
 mod odd_objects;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use marigold_core::ids::Uptime;
+use marigold_core::load_reports::InFlight;
 use marigold_core::store_service::Period;
 use marigold_link::server::{Handler, ReplySink};
 use marigold_objects::Store;
@@ -184,6 +185,9 @@
         shared
             .limits
             .remove_unused(now, |id, started_at_ms| shared.targets.has_start(id, started_at_ms));
+        if shared.load.take_expired(now) {
+            shared.targets.report_loads(&InFlight::new());
+        }
         poison::maintain(&shared);
         for member in shared.members.to_poll(&shared.limits.in_use(now)) {
             tokio::spawn(poll(shared.clone(), member));
@@ -194,7 +198,7 @@
 
 async fn poll<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>, member: Member) {
     let sent = boottime::now();
-    let req = Request::Facts(shared.facts());
+    let req = Request::Facts(GatewayFacts { in_flight: shared.own_in_flight(), ..shared.facts() });
     let facts = match exchange(&member, &req, REPLY_TIMEOUT).await {
         Ok(Reply::Facts(facts)) => facts,
         Ok(reply) => {
@@ -226,6 +230,7 @@
         tracing::debug!(member = member.name, err, "changes of targets not read");
     }
     limits::merge_changed(&shared, facts.limits.clone(), sent);
+    shared.merge_total_in_flight(facts.total_in_flight.clone());
     discovery::merge_evacuations(&shared, facts.evacuations.as_ref(), sent);
     spread::sync(&shared, &member, facts.quarantines).await;
     if !shared.remaining_grace_period(boottime::now()).is_zero() {
@@ -386,11 +391,15 @@
             }
             Request::Facts(facts) => {
                 // A gateway that cannot reach the store discovers new gateways from their polls.
+                let now = boottime::now();
+                let earliest = now.saturating_sub(REPLY_TIMEOUT);
+                shared.load.record(facts.name.clone(), facts.in_flight, now);
                 shared.members.put(facts.name, &facts.entry);
-                let earliest = boottime::now().saturating_sub(REPLY_TIMEOUT);
                 limits::merge_changed(shared, facts.limits, earliest);
                 discovery::merge_evacuations(shared, facts.evacuations.as_ref(), earliest);
-                replies.send(&Reply::Facts(shared.facts())).await?;
+                let total_in_flight = shared.total_in_flight();
+                let facts = GatewayFacts { total_in_flight, ..shared.facts() };
+                replies.send(&Reply::Facts(facts)).await?;
             }
             Request::ReadStoreService => {
                 let reply = match shared.store_service() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,7 +15,7 @@
 use marigold_core::targets::Target;
 use marigold_objects::RecentChanges;
 use marigold_process::boottime;
-use marigold_schema::messages::{self, GatewayEntry, GatewayFacts};
+use marigold_schema::messages::{self, GatewayEntry, GatewayFacts, TargetInFlight};
 use marigold_schema::settings::GatewaySettings;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
@@ -27,6 +27,7 @@
 use crate::evacuations::Evacuations;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
+use crate::load_reports::{self, SharedLoad};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::odd_objects::OddObjects;
@@ -80,6 +81,7 @@
     pub(crate) target_changes: Mutex<RecentChanges<Target>>,
     pub(crate) evacuations: Evacuations,
     pub(crate) limits: Limits,
+    pub(crate) load: SharedLoad,
     pub(crate) crashes: Crashes,
     pub(crate) poison: Poison,
     pub(crate) members: Members,
@@ -144,6 +146,7 @@
             target_changes: Mutex::default(),
             evacuations: Evacuations::default(),
             limits: Limits::default(),
+            load: SharedLoad::default(),
             crashes: Crashes::default(),
             poison: Poison::default(),
             members,
@@ -402,9 +405,37 @@
             quarantines: self.poison.digest(),
             targets: target_relay::state(&self.target_changes.lock(), now),
             evacuations: self.evacuations.message(now),
+            in_flight: Vec::new(),
+            total_in_flight: Vec::new(),
         }
     }
 
+    /// Returns the requests that this gateway has in flight, if loads are exchanged in a fleet of this size.
+    pub(crate) fn own_in_flight(&self) -> Vec<TargetInFlight> {
+        if self.members.alive_count() < marigold_core::load_reports::MIN_GATEWAYS {
+            return Vec::new();
+        }
+        load_reports::to_message(self.targets.own_in_flight())
+    }
+
+    /// Returns the requests that all gateways have in flight, if this one is polled by many.
+    pub(crate) fn total_in_flight(&self) -> Vec<TargetInFlight> {
+        if !self.members.is_watcher() {
+            return Vec::new();
+        }
+        let own = self.own_in_flight();
+        self.load.totals(own, self.members.alive_count(), boottime::now())
+    }
+
+    /// Applies the sums that another gateway sent; an empty list says nothing.
+    pub(crate) fn merge_total_in_flight(&self, totals: Vec<TargetInFlight>) {
+        if totals.is_empty() || totals.len() > marigold_core::load_reports::MAX_REPORTED {
+            return;
+        }
+        self.load.on_totals(boottime::now());
+        self.targets.report_loads(&load_reports::parse(totals));
+    }
+
     /// Returns whether the process was asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use marigold_core::ids::{Name, SoftwareVersion, Uptime};
+use marigold_core::load_reports::InFlight;
 use marigold_core::router::{Candidate, Load};
 use marigold_core::stream_origin::version_set::VersionSet;
 use marigold_core::stream_origin::{Origin, PoolVersion, VersionHistory};
@@ -154,6 +155,21 @@
         counts
     }
 
+    /// Returns the own requests in flight by target, of targets that have some.
+    pub(crate) fn own_in_flight(&self) -> InFlight {
+        let pools = self.pools.load();
+        let counts =
+            pools.values().flatten().map(|tracked| (&tracked.target.id, tracked.load.own()));
+        counts.filter(|(_, own)| *own > 0).map(|(id, own)| (id.clone(), own)).collect()
+    }
+
+    /// Sets the requests of all gateways in flight; those of targets that are not in `totals` are unknown.
+    pub(crate) fn report_loads(&self, totals: &InFlight) {
+        for tracked in self.pools.load().values().flatten() {
+            tracked.load.on_report(totals.get(&tracked.target.id).copied().unwrap_or_default());
+        }
+    }
+
     /// Returns the number of targets that accept requests.
     pub(crate) fn len(&self) -> usize {
         self.pools.load().values().map(Vec::len).sum()
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -809,10 +809,12 @@
 ///  "required": [
 ///    "config_version",
 ///    "entry",
+///    "in_flight",
 ///    "leaving",
 ///    "limits",
 ///    "name",
-///    "quarantines"
+///    "quarantines",
+///    "total_in_flight"
 ///  ],
 ///  "properties": {
 ///    "config_version": {
@@ -828,6 +830,13 @@
 ///      "description": "Data centres that are evacuated; absent before they are known.",
 ///      "$ref": "#/definitions/EvacuationList"
 ///    },
+///    "in_flight": {
+///      "description": "Requests that the gateway has in flight, in polls.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/TargetInFlight"
+///      }
+///    },
 ///    "leaving": {
 ///      "description": "Whether the gateway is being stopped.",
 ///      "type": "boolean"
@@ -855,6 +864,13 @@
 ///    "targets": {
 ///      "description": "State of the list of targets; absent before it was read.",
 ///      "$ref": "#/definitions/TargetsState"
+///    },
+///    "total_in_flight": {
+///      "description": "Requests that all gateways have in flight, in answers of gateways that collect them; the targets with the most.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/TargetInFlight"
+///      }
 ///    }
 ///  }
 ///}
@@ -869,6 +885,8 @@
     ///Data centres that are evacuated; absent before they are known.
     #[serde(default)]
     pub evacuations: ::std::option::Option<EvacuationList>,
+    ///Requests that the gateway has in flight, in polls.
+    pub in_flight: ::std::vec::Vec<TargetInFlight>,
     ///Whether the gateway is being stopped.
     pub leaving: bool,
     ///Limits of targets that have changed within the last seconds, as far as the gateway knows.
@@ -882,6 +900,8 @@
     ///State of the list of targets; absent before it was read.
     #[serde(default)]
     pub targets: ::std::option::Option<TargetsState>,
+    ///Requests that all gateways have in flight, in answers of gateways that collect them; the targets with the most.
+    pub total_in_flight: ::std::vec::Vec<TargetInFlight>,
 }
 ///Heartbeat, sent by an entry on each of its links to agents.
 ///
@@ -3423,6 +3443,35 @@
     pub service: ::std::option::Option<StoreService>,
     pub state: TargetsState,
 }
+///Number of requests in flight at a target.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Number of requests in flight at a target.",
+///  "type": "object",
+///  "required": [
+///    "count",
+///    "target"
+///  ],
+///  "properties": {
+///    "count": {
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "target": {
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TargetInFlight {
+    pub count: u32,
+    pub target: ::std::string::String,
+}
 ///What a target said about its limit.
 ///
 /// <details><summary>JSON schema</summary>
