Admission: callers that come back after a refusal are admitted

A retry is told by the time that its caller still waits; it is admitted, and its late pieces wait behind those on time. Polls carry loads in large fleets with a probability, so that watchers keep their traffic.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod burn;
+pub mod caller_retry;
 pub mod check;
 pub mod config;
 pub mod cost;
--- a/crates/core/src/load_reports.rs
+++ b/crates/core/src/load_reports.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::RngExt as _;
+
 use crate::ids::{Name, Uptime};
 
 /// Number of gateways from which loads are reported. With fewer, each sees enough of a target's load by itself.
@@ -15,6 +17,16 @@
 /// Maximum number of targets in a message, which bounds the traffic between gateways.
 pub const MAX_REPORTED: usize = 128;
 
+/// Number of gateways up to which each poll carries a report. In larger fleets a part of the polls does, so that the traffic of those
+/// that collect the reports stays the same.
+const REPORT_ALWAYS_UP_TO: usize = 80;
+
+/// Returns whether a poll in a fleet of `gateways` carries a report.
+pub fn is_due(gateways: usize, rng: &mut impl rand::Rng) -> bool {
+    let probability = REPORT_ALWAYS_UP_TO as f64 / gateways as f64;
+    gateways >= MIN_GATEWAYS && rng.random_bool(probability.min(1.0))
+}
+
 /// Requests in flight by target.
 pub type InFlight = BTreeMap<Name, u32>;
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -117,6 +117,8 @@
     pub(crate) suspects: Arc<[Suspect]>,
     pub(crate) arrived: Uptime,
     pub(crate) deadline: Uptime,
+    /// Whether the caller has come back after a refusal.
+    pub(crate) is_retry: bool,
     /// Number of attempts in which the request ran or may have run.
     pub(crate) runs: u32,
     /// Targets that the request has lost before it had an answer.
@@ -147,12 +149,13 @@
     }
 
     /// Admission control: refuses a share of the requests, before any work is done, when too many wait for their
-    /// stages. Streams with a record go on in any case: their work was admitted when they began.
+    /// stages. Streams with a record go on in any case: their work was admitted when they began. So do callers that have
+    /// come back after a refusal, since they do not come back again.
     ///
     /// # Errors
     /// A refusal.
     pub(crate) fn admit(&self) -> Result<(), Failure> {
-        if self.begun.as_ref().is_some_and(continuation::Begun::is_recorded) {
+        if self.is_retry || self.begun.as_ref().is_some_and(continuation::Begun::is_recorded) {
             return Ok(());
         }
         let estimates = self.stage_runner(self.arrived).estimate_first_event(&self.shared);
@@ -187,6 +190,7 @@
             route: &self.route,
             head: &self.head,
             priority: self.priority(),
+            is_retry: self.is_retry,
             since,
             deadline: self.deadline,
             target_data_centre: target.map(|tracked| tracked.target.data_centre.clone()),
--- a/crates/gateway/src/learned_durations.rs
+++ b/crates/gateway/src/learned_durations.rs
@@ -1,8 +1,10 @@
-//! Estimates of the durations of stages and of the time to the first event, from samples of this gateway.
+//! Estimates of the durations of stages, of the time to the first event, and of the time that callers wait, from samples of
+//! this gateway.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use marigold_core::caller_retry::CallerTimeout;
 use marigold_core::duration_estimate::{DurationEstimate, DurationEstimator};
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::routes::Routing;
@@ -15,6 +17,8 @@
     stages: Mutex<HashMap<(Name, u8), DurationEstimator>>,
     /// By route, since targets need longer to read long prompts.
     first_events: Mutex<HashMap<Name, DurationEstimator>>,
+    /// By route.
+    caller_timeouts: Mutex<HashMap<Name, CallerTimeout>>,
 }
 
 impl LearnedDurations {
@@ -23,6 +27,16 @@
         self.stages.lock().retain(|(pool, _), _| routing.pools.contains_key(pool));
         let routes: HashSet<&str> = routing.routes().map(|route| route.name.as_str()).collect();
         self.first_events.lock().retain(|route, _| routes.contains(route.as_str()));
+        self.caller_timeouts.lock().retain(|route, _| routes.contains(route.as_str()));
+    }
+
+    /// Records the time that the caller of a request waits, and returns whether the request has come back after a refusal.
+    pub(crate) fn observe_caller(&self, route: &str, timeout: Duration, now: Uptime) -> bool {
+        let mut timeouts = self.caller_timeouts.lock();
+        match timeouts.get_mut(route) {
+            Some(known) => known.observe(timeout, now),
+            None => timeouts.entry(route.to_owned()).or_default().observe(timeout, now),
+        }
     }
 
     /// Estimates the duration of a stage, including queueing; `default` applies without recent samples.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -393,11 +393,12 @@
                 // A gateway that cannot reach the store discovers new gateways from their polls.
                 let now = boottime::now();
                 let earliest = now.saturating_sub(REPLY_TIMEOUT);
+                let has_load = !facts.in_flight.is_empty();
                 shared.load.record(facts.name.clone(), facts.in_flight, now);
                 shared.members.put(facts.name, &facts.entry);
                 limits::merge_changed(shared, facts.limits, earliest);
                 discovery::merge_evacuations(shared, facts.evacuations.as_ref(), earliest);
-                let total_in_flight = shared.total_in_flight();
+                let total_in_flight = if has_load { shared.total_in_flight() } else { Vec::new() };
                 let facts = GatewayFacts { total_in_flight, ..shared.facts() };
                 replies.send(&Reply::Facts(facts)).await?;
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -45,6 +45,7 @@
     version: u64,
     arrived: Uptime,
     first_byte: Option<Duration>,
+    is_retry: bool,
     is_finished: bool,
 }
 
@@ -58,6 +59,7 @@
             version: 0,
             arrived,
             first_byte: None,
+            is_retry: false,
             is_finished: false,
         }
     }
@@ -87,6 +89,7 @@
             target,
             status,
             first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64),
+            is_retry = self.is_retry,
             took_ms = self.elapsed().as_millis() as u64,
             outcome,
             "request ended"
@@ -168,6 +171,10 @@
     guard.route.clone_from(&route.name);
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = guard.arrived + timeout;
+    let is_retry = head.timeout.is_some_and(|timeout| {
+        shared.durations.observe_caller(&route.name, timeout, guard.arrived)
+    });
+    guard.is_retry = is_retry;
     let body = read_body(parts, body, &adopted.routing.limits, timeout).await?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
@@ -193,6 +200,7 @@
         suspects: suspects.into(),
         arrived: guard.arrived,
         deadline,
+        is_retry,
         runs: 0,
         lost_targets: Vec::new(),
         is_probe: false,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -412,7 +412,7 @@
 
     /// Returns the requests that this gateway has in flight, if loads are exchanged in a fleet of this size.
     pub(crate) fn own_in_flight(&self) -> Vec<TargetInFlight> {
-        if self.members.alive_count() < marigold_core::load_reports::MIN_GATEWAYS {
+        if !marigold_core::load_reports::is_due(self.members.alive_count(), &mut rand::rng()) {
             return Vec::new();
         }
         load_reports::to_message(self.targets.own_in_flight())
@@ -423,7 +423,7 @@
         if !self.members.is_watcher() {
             return Vec::new();
         }
-        let own = self.own_in_flight();
+        let own = load_reports::to_message(self.targets.own_in_flight());
         self.load.totals(own, self.members.alive_count(), boottime::now())
     }
 
