--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -24,6 +24,9 @@
 /// Interval between the bytes of [`Fault::Dripping`].
 const DRIP_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after a reply at which [`CallFault::RepeatWhenIdle`] and [`CallFault::CloseWhenIdle`] happen.
+const IDLE_FAULT_DELAY: Duration = Duration::from_millis(5);
+
 /// What crashes each replica that runs a request with it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Poison {
@@ -88,6 +91,25 @@
     InputRemoved,
 }
 
+/// Fault in the replies to calls of pieces and calls that free results, or in their connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// Each reply comes a second time, when the next call has arrived on its connection and has run.
+    RepeatBeforeNext,
+    /// Each reply comes a second time as soon as the next call has arrived on its connection.
+    RepeatOnNextCall,
+    /// Each reply comes a second time while its connection is idle.
+    RepeatWhenIdle,
+    /// The second call on a connection gets no reply, and the connection stays open.
+    Forget,
+    /// A connection is closed without notice when its second call arrives.
+    CloseOnNextCall,
+    /// A connection is closed shortly after its first reply, which says nothing of it.
+    CloseWhenIdle,
+    /// Each reply says that its connection will be closed, which the replica leaves to the caller.
+    AnnounceClose,
+}
+
 /// Configuration of a replica.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -125,6 +147,8 @@
     pub request: String,
     /// Method and path, separated by a space.
     pub request_line: String,
+    /// Number of the connection on which it came.
+    pub connection: usize,
 }
 
 /// A completed piece, the unit of batched work in a stage call.
@@ -156,8 +180,11 @@
     is_leaving: AtomicBool,
     /// Value of `Retry-After` with which the replica refuses all requests.
     pause: Mutex<Option<String>>,
-    /// Whether each reply to a stage call comes a second time, when the next call has arrived on its connection.
-    repeats_stage_replies: AtomicBool,
+    call_fault: Mutex<Option<CallFault>>,
+    /// Number of the next calls of pieces that find no room for any result.
+    full_calls: AtomicUsize,
+    /// Number of connections that were accepted.
+    connections: AtomicUsize,
     completed: Mutex<HashMap<String, CompletedPiece>>,
     /// Completed pieces whose results were freed.
     freed: Mutex<HashMap<String, CompletedPiece>>,
@@ -252,7 +279,17 @@
 
     /// Sends each reply to a stage call a second time, at the point where the next one on its connection is expected.
     pub fn repeat_stage_replies(&self) {
-        self.state.repeats_stage_replies.store(true, Ordering::SeqCst);
+        self.set_call_fault(Some(CallFault::RepeatBeforeNext));
+    }
+
+    /// Sets the fault of all calls of pieces and calls that free results from now on.
+    pub fn set_call_fault(&self, fault: Option<CallFault>) {
+        *self.state.call_fault.lock() = fault;
+    }
+
+    /// Lets the next `count` calls of pieces find no room for any result.
+    pub fn fill_for_calls(&self, count: usize) {
+        self.state.full_calls.store(count, Ordering::SeqCst);
     }
 
     /// Names a limit, in requests a second, in all replies from now on; `None` ends it.
@@ -302,9 +339,10 @@
                                let (state, options) = (state.clone(), options.clone());
                                let id = state.id.borrow().clone().unwrap_or_default();
                                let stage_call_lock = stage_call_lock.clone();
+                               let number = state.connections.fetch_add(1, Ordering::SeqCst);
                                connections.spawn(async move {
                                    let connection = Connection {
-            stream, addr, id, state, options, stage_call_lock, last_stage_reply: None,
+            stream, addr, id, state, options, stage_call_lock, last_reply: None, number,
             };
                                    // A caller that disconnects is not a failure of the replica.
                                    drop(connection.serve().await);
@@ -338,7 +376,9 @@
     options: Arc<Options>,
     /// Held while a stage call runs, so that one runs at a time.
     stage_call_lock: Arc<tokio::sync::Mutex<()>>,
-    last_stage_reply: Option<String>,
+    /// Reply to the last call of pieces or call that frees results.
+    last_reply: Option<String>,
+    number: usize,
 }
 
 /// Decrements the number of requests in progress when it is dropped.
@@ -357,6 +397,7 @@
                 at: run.at,
                 request: run.request.clone(),
                 request_line: run.request_line.clone(),
+                connection: self.number,
             });
             let expected = run.headers.get("expect-instance").map_or("", String::as_str);
             if expected != self.id {
@@ -376,13 +417,22 @@
                 self.respond(503, &headers, b"").await?;
                 continue;
             }
+            if run.request_line.starts_with("POST /stage-") && self.last_reply.is_some() {
+                let fault = *self.state.call_fault.lock();
+                match fault {
+                    Some(CallFault::RepeatOnNextCall) => self.repeat_reply().await?,
+                    Some(CallFault::Forget) => std::future::pending().await,
+                    Some(CallFault::CloseOnNextCall) => return Ok(()),
+                    _ => {}
+                }
+            }
             match run.request_line.as_str() {
                 "POST /stage-run" => self.run_pieces(&run).await?,
                 "POST /stage-free" => {
                     let body: Value = serde_json::from_slice(&run.body).unwrap_or_default();
                     let handles = body["handles"].as_array().cloned().unwrap_or_default();
                     self.state.free(&handles);
-                    self.respond(200, &[], b"{}").await?;
+                    self.respond_to_call("{}".to_owned()).await?;
                 }
                 _ => self.run_request(run).await?,
             }
@@ -452,7 +502,13 @@
         let items = body["items"].as_array().cloned().unwrap_or_default();
         self.state.stage_call_sizes.lock().push(items.len());
         time::sleep(self.options.stage_call_duration).await;
+        let decrement = |count: usize| count.checked_sub(1);
+        let order = Ordering::SeqCst;
+        let is_full = self.state.full_calls.fetch_update(order, order, decrement).is_ok();
         let complete = |item: &Value| {
+            if is_full {
+                return json!({ "reason": "room" });
+            }
             let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
             let piece = CompletedPiece {
                 request: item["id"].as_str().unwrap_or_default().to_owned(),
@@ -464,12 +520,38 @@
             json!({ "handle": handle })
         };
         let reply = json!({ "items": items.iter().map(complete).collect::<Vec<_>>() }).to_string();
-        if self.state.repeats_stage_replies.load(Ordering::SeqCst)
-            && let Some(before) = self.last_stage_reply.replace(reply.clone())
-        {
-            self.respond(200, &[], before.as_bytes()).await?;
+        self.respond_to_call(reply).await
+    }
+
+    /// Sends the last reply to a call once more.
+    async fn repeat_reply(&mut self) -> std::io::Result<()> {
+        match self.last_reply.clone() {
+            Some(reply) => self.respond(200, &[], reply.as_bytes()).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Replies to a call of pieces or a call that frees results.
+    async fn respond_to_call(&mut self, reply: String) -> std::io::Result<()> {
+        let fault = *self.state.call_fault.lock();
+        if fault == Some(CallFault::RepeatBeforeNext) {
+            self.repeat_reply().await?;
+        }
+        let is_closing = fault == Some(CallFault::AnnounceClose);
+        let headers: &[(&str, &str)] = if is_closing { &[("Connection", "close")] } else { &[] };
+        self.respond(200, headers, reply.as_bytes()).await?;
+        self.last_reply = Some(reply);
+        match fault {
+            Some(CallFault::RepeatWhenIdle) => {
+                time::sleep(IDLE_FAULT_DELAY).await;
+                self.repeat_reply().await
+            }
+            Some(CallFault::CloseWhenIdle) => {
+                time::sleep(IDLE_FAULT_DELAY).await;
+                self.stream.shutdown().await
+            }
+            _ => Ok(()),
         }
-        self.respond(200, &[], reply.as_bytes()).await
     }
 
     async fn run_request(&mut self, run: Run) -> std::io::Result<()> {
