Connections of stage calls are reused

Calls of pieces and calls that free results opened a connection each, since their replies carry no id and a duplicate of one was taken for the next. They now reuse connections, one purpose each. core::connection_reuse decides which replies are believed: a connection is kept only after replies with a handle, so that a later reply that repeats no handle is no duplicate. A call without a proven answer closes its connection, and its pieces go back to the queue and out on a new connection, by the usual way of limits, holds and evacuations. Results of a reply that was not believed count as used memory until they expire.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod burn;
 pub mod check;
 pub mod config;
+pub mod connection_reuse;
 pub mod cost;
 pub mod deadline;
 pub mod digest;
--- a/crates/core/src/result_memory.rs
+++ b/crates/core/src/result_memory.rs
@@ -16,6 +16,8 @@
     results: HashMap<String, (u64, Uptime)>,
     /// Size of the results of running calls.
     in_flight: u64,
+    /// Sizes of results whose handles did not arrive, and the times at which they expire.
+    lost: Vec<(u64, Uptime)>,
     /// Estimate of the memory used by results unknown to this gateway, and the time at which it has decayed to zero.
     untracked: (u64, Uptime),
 }
@@ -32,7 +34,9 @@
 impl ResultMemory {
     fn tracked(&mut self, now: Uptime) -> u64 {
         self.results.retain(|_, (_, expires)| *expires > now);
-        self.results.values().map(|(bytes, _)| bytes).sum::<u64>() + self.in_flight
+        self.lost.retain(|(_, expires)| *expires > now);
+        let lost: u64 = self.lost.iter().map(|(bytes, _)| bytes).sum();
+        self.results.values().map(|(bytes, _)| bytes).sum::<u64>() + lost + self.in_flight
     }
 
     /// Returns the memory in use.
@@ -59,6 +63,11 @@
         self.results.insert(handle, (bytes, expires));
     }
 
+    /// Adds results whose handles did not arrive, so that they cannot be freed.
+    pub fn add_lost(&mut self, bytes: u64, expires: Uptime) {
+        self.lost.push((bytes, expires));
+    }
+
     /// Records that the target, with room for `capacity`, had none for a result of a call of which `made` were made. That
     /// was when the call began; what was freed since is free.
     pub fn on_full(&mut self, call: CallMemory, capacity: u64, made: u64, now: Uptime) {
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
+use marigold_core::connection_reuse;
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::result_memory::{CallMemory, ResultMemory};
 use marigold_core::routes::StagePool;
@@ -23,8 +24,8 @@
 use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult, ReplyHead};
 use crate::limits::{self, Demand};
 use crate::shared::Shared;
+use crate::stage_connections::{self, Peer, Purpose, Reply, Timeouts};
 use crate::targets::TrackedTarget;
-use crate::upstream;
 
 /// Timeout of a call, as a multiple of its expected duration.
 const CALL_TIMEOUT_FACTOR: f64 = 4.0;
@@ -44,6 +45,8 @@
 const REDISPATCH_DELAY: Duration = Duration::from_millis(50);
 /// Timeout of a call that frees results.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which idle connections are closed whose time is over or whose target has left.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum size of a reply to a call. Handles are shorter than 100 bytes and batches smaller than 1,000 pieces.
 const MAX_REPLY_BYTES: usize = 256 * 1024;
 /// Slowdown (ratio of measured to expected duration of calls) from which a target is used only if the faster ones do
@@ -125,6 +128,9 @@
     job: Arc<Job>,
     piece: u32,
     tries: u8,
+    /// Whether an earlier call with the piece ended without an answer on a reused connection, so that the next one opens a
+    /// connection.
+    needs_new_connection: bool,
 }
 
 /// State of a target at the owner of its pool.
@@ -204,7 +210,9 @@
         let mut pools = shared.batcher.pools.lock();
         let state = pools.entry(pool.clone()).or_default();
         for piece in 0..pieces {
-            state.queue.push(queued_piece(Ticket { job: job.clone(), piece, tries: 0 }));
+            let job = job.clone();
+            let ticket = Ticket { job, piece, tries: 0, needs_new_connection: false };
+            state.queue.push(queued_piece(ticket));
         }
     }
     dispatch(shared, &pool);
@@ -285,7 +293,8 @@
         let result_bytes = pieces.iter().map(|piece| piece.result_bytes).sum();
         let memory = target.memory.start_call(result_bytes, now);
         let tickets = pieces.into_iter().map(|piece| piece.ticket).collect();
-        tokio::spawn(run_call(shared.clone(), tracked, spec.clone(), tickets, memory));
+        let call = Call { tickets, memory, slowdown: target.slowdown };
+        tokio::spawn(run_call(shared.clone(), tracked, spec.clone(), call));
     }
     if !state.queue.is_empty() && !state.is_redispatch_scheduled {
         // Pieces that wait for a target in their preferred data centre may run elsewhere after a while. No other event
@@ -332,22 +341,36 @@
     free
 }
 
+/// A call that is about to be sent.
+struct Call {
+    tickets: Vec<Ticket>,
+    memory: CallMemory,
+    /// Slowdown of the target.
+    slowdown: f64,
+}
+
 async fn run_call<D: Dialect, S: Store>(
     shared: Arc<Shared<D, S>>,
     tracked: Arc<TrackedTarget>,
     spec: StagePool,
-    tickets: Vec<Ticket>,
-    memory: CallMemory,
+    call: Call,
 ) {
+    let Call { tickets, memory, slowdown } = call;
     let pool = tracked.target.pool.clone();
     let started = boottime::now();
     let expected = spec.duration(tickets.len());
     let pieces: Vec<Piece> = tickets.iter().map(|ticket| to_piece(ticket, started)).collect();
     shared.metrics.stage_pieces.add(pieces.len() as u64, &[KeyValue::new("pool", pool.clone())]);
     let timeout = expected.mul_f64(CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_MARGIN;
-    let (reply, head) = send_pieces::<D>(&tracked, &pieces, timeout).await;
+    let timeouts = Timeouts {
+        reused: connection_reuse::reply_timeout(expected, slowdown, timeout),
+        new: timeout,
+    };
+    let may_reuse = !tickets.iter().any(|ticket| ticket.needs_new_connection);
+    let (reply, head) = send_pieces(&shared, &tracked, &pieces, may_reuse, timeouts).await;
     let limit = head.as_ref().map_or(LimitStatement::Unknown, |head| head.limit);
-    let is_answer = !matches!(reply, CallOutcome::Failed(_));
+    let is_answer = matches!(reply, CallOutcome::Results(_) | CallOutcome::Busy);
+    let has_lost_results = matches!(reply, CallOutcome::Unproven { has_run: true, .. });
     // A reply that is not the target's answer to the call does not end its limit.
     if is_answer || limit != LimitStatement::Unlimited {
         limits::observe(&shared, &tracked, limit, started);
@@ -360,6 +383,17 @@
     let (results, outcome) = match reply {
         CallOutcome::Results(results) => (Some(results), "done"),
         CallOutcome::Busy => (None, "busy"),
+        CallOutcome::Unproven { reason, .. } => {
+            tracing::info!(
+                target = tracked.target.id,
+                pool,
+                pieces = pieces.len(),
+                reason,
+                took_ms = duration.as_millis() as u64,
+                "no proven answer on a reused connection; the pieces are sent on a new one"
+            );
+            (None, "unproven")
+        }
         CallOutcome::Failed(reason) => {
             tracing::warn!(
                 target = tracked.target.id,
@@ -412,7 +446,11 @@
             _ => {}
         }
         let results = results.unwrap_or_else(|| vec![Err(PieceError::Failed); tickets.len()]);
-        let is_busy = outcome == "busy";
+        let is_try = !matches!(outcome, "busy" | "unproven");
+        if has_lost_results {
+            let bytes = tickets.iter().map(|ticket| ticket.job.req.result_bytes).sum();
+            target.memory.add_lost(bytes, now + spec.result_retention);
+        }
         let (mut has_memory, mut made_bytes) = (true, 0);
         for (mut ticket, result) in tickets.into_iter().zip(results) {
             match result {
@@ -431,7 +469,8 @@
                 Err(PieceError::InputGone) => ticket.job.fail(PieceFailure::InputGone),
                 Err(reason @ (PieceError::OutOfMemory | PieceError::Failed)) => {
                     has_memory &= reason != PieceError::OutOfMemory;
-                    ticket.tries += u8::from(!is_busy);
+                    ticket.tries += u8::from(is_try);
+                    ticket.needs_new_connection |= outcome == "unproven";
                     if ticket.tries >= MAX_TRIES {
                         ticket.job.fail(PieceFailure::Failed);
                     } else {
@@ -474,28 +513,103 @@
     Results(Vec<PieceResult>),
     /// The target refused the call and did not run it.
     Busy,
+    /// There was no reply on a reused connection, or one that may be a duplicate of an earlier one.
+    Unproven {
+        reason: String,
+        /// Whether the target is likely to hold results of the call.
+        has_run: bool,
+    },
     Failed(String),
 }
 
-async fn send_pieces<D: Dialect>(
+async fn send_pieces<D: Dialect, S: Store>(
+    shared: &Arc<Shared<D, S>>,
     tracked: &TrackedTarget,
     pieces: &[Piece],
-    timeout: Duration,
+    may_reuse: bool,
+    timeouts: Timeouts,
 ) -> (CallOutcome, Option<ReplyHead>) {
     let req = post_request::<D>(tracked, D::STAGE_PATH, D::stage_call(pieces));
-    let reply = match upstream::call(tracked.target.addr, req, timeout, MAX_REPLY_BYTES).await {
+    let peer = Peer::new(&tracked.target, Purpose::Pieces);
+    let connections = &shared.stage_connections;
+    let started = boottime::now();
+    let reply = match connections.call(peer, req, may_reuse, timeouts, MAX_REPLY_BYTES).await {
         Ok(reply) => reply,
-        Err(err) => return (CallOutcome::Failed(err.to_string()), None),
+        Err(err @ stage_connections::Error::Reused(_)) => {
+            // A call that broke off at once was not received.
+            let has_run = boottime::now().saturating_sub(started) >= timeouts.reused;
+            count_connection(shared, Purpose::Pieces, "reused");
+            count_connection(shared, Purpose::Pieces, "unproven");
+            return (CallOutcome::Unproven { reason: err.to_string(), has_run }, None);
+        }
+        Err(err) => {
+            count_connection(shared, Purpose::Pieces, "opened");
+            return (CallOutcome::Failed(err.to_string()), None);
+        }
     };
-    let outcome = match reply.status() {
-        StatusCode::OK => match D::stage_results(reply.body(), pieces.len()) {
-            Ok(results) => CallOutcome::Results(results),
-            Err(err) => CallOutcome::Failed(err.to_string()),
-        },
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => CallOutcome::Busy,
-        status => CallOutcome::Failed(format!("status {status}")),
+    let is_on_reused = reply.is_on_reused();
+    let use_of = if is_on_reused { "reused" } else { "opened" };
+    count_connection(shared, Purpose::Pieces, use_of);
+    let status = reply.response.status();
+    let head = D::read_reply(status, reply.response.headers());
+    let results = match status {
+        StatusCode::OK => D::stage_results(reply.response.body(), pieces.len()),
+        _ => Ok(Vec::new()),
     };
-    (outcome, Some(D::read_reply(reply.status(), reply.headers())))
+    let reason = match &results {
+        // A duplicate of a reply to a call with another number of pieces looks like this.
+        Err(err) if is_on_reused => Some(err.to_string()),
+        // Some servers announce in this way that they close an idle connection.
+        Ok(_) if is_on_reused && status == StatusCode::REQUEST_TIMEOUT => {
+            Some(format!("status {status}"))
+        }
+        _ => None,
+    };
+    if let Some(reason) = reason {
+        connections.reject(reply);
+        count_connection(shared, Purpose::Pieces, "unproven");
+        let has_run = status == StatusCode::OK;
+        return (CallOutcome::Unproven { reason, has_run }, None);
+    }
+    let handles = results.iter().flatten().flatten().map(String::as_str);
+    if !connections.accept_results(reply, handles) {
+        count_connection(shared, Purpose::Pieces, "unproven");
+        let reason = "the reply repeats a handle of an earlier one".to_owned();
+        return (CallOutcome::Unproven { reason, has_run: true }, None);
+    }
+    start_sweep(shared);
+    let outcome = match (status, results) {
+        (StatusCode::OK, Ok(results)) => CallOutcome::Results(results),
+        (_, Err(err)) => CallOutcome::Failed(err.to_string()),
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => CallOutcome::Busy,
+        (status, _) => CallOutcome::Failed(format!("status {status}")),
+    };
+    (outcome, Some(head))
+}
+
+fn count_connection<D: Dialect, S>(shared: &Shared<D, S>, purpose: Purpose, use_of: &'static str) {
+    let purpose = match purpose {
+        Purpose::Pieces => "pieces",
+        Purpose::Release => "release",
+    };
+    let labels = [KeyValue::new("purpose", purpose), KeyValue::new("use", use_of)];
+    shared.metrics.stage_connections.add(1, &labels);
+}
+
+/// Closes idle connections that are no longer needed, until none are left.
+fn start_sweep<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>) {
+    if !shared.stage_connections.start_sweep() {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        loop {
+            time::sleep(SWEEP_INTERVAL).await;
+            if !shared.stage_connections.sweep(boottime::now(), &shared.targets) {
+                return;
+            }
+        }
+    });
 }
 
 fn post_request<D: Dialect>(
@@ -548,22 +662,63 @@
         std::mem::take(&mut target.pending_releases)
     };
     let sent_at = boottime::now();
-    if shared.limits.per_s(&tracked).is_some() || tracked.hold.until(sent_at).is_some() {
-        // A target in need gets no calls that are not needed: the results expire without them.
+    if !may_release(&shared, &tracked) {
         return;
     }
-    let req = post_request::<D>(&tracked, D::RELEASE_PATH, D::release_call(&handles));
-    match upstream::call(tracked.target.addr, req, RELEASE_TIMEOUT, MAX_REPLY_BYTES).await {
+    let reply = match call_release(&shared, &tracked, &handles, true).await {
+        Err(stage_connections::Error::Reused(_)) if may_release(&shared, &tracked) => {
+            call_release(&shared, &tracked, &handles, false).await
+        }
+        result => result,
+    };
+    match reply {
         Ok(reply) => {
-            let head = D::read_reply(reply.status(), reply.headers());
-            announcements::observe(&shared.targets, &tracked, &head, sent_at);
-            let mut pools = shared.batcher.pools.lock();
-            let state = pools.entry(tracked.target.pool.clone()).or_default();
-            let target = state.targets.entry(tracked.target.id.clone()).or_default();
-            target.memory.free(&handles);
+            let head = D::read_reply(reply.response.status(), reply.response.headers());
+            // A duplicate is no answer to this call, but what it says of leaving stays true.
+            if !reply.is_on_reused() || head.is_leaving || head.pause.is_some() {
+                announcements::observe(&shared.targets, &tracked, &head, sent_at);
+            }
+            // More bytes, or the end of the connection, may mean that this was a duplicate and the call was not received.
+            let is_believed = !reply.is_on_reused() || reply.is_settled;
+            shared.stage_connections.accept_release(reply);
+            start_sweep(&shared);
+            if is_believed {
+                let mut pools = shared.batcher.pools.lock();
+                let state = pools.entry(tracked.target.pool.clone()).or_default();
+                let target = state.targets.entry(tracked.target.id.clone()).or_default();
+                target.memory.free(&handles);
+            }
         }
         // The results expire without the call.
         Err(err) => tracing::debug!(target = tracked.target.id, %err, "results not freed"),
     }
     dispatch(&shared, &tracked.target.pool);
 }
+
+/// Returns whether a target may get a call that frees results. One in need gets no calls that are not needed: the results expire
+/// without them.
+fn may_release<D: Dialect, S: Store>(shared: &Shared<D, S>, tracked: &TrackedTarget) -> bool {
+    shared.limits.per_s(tracked).is_none()
+        && tracked.hold.until(boottime::now()).is_none()
+        && shared.targets.has_start(&tracked.target.id, tracked.target.started_at_ms)
+}
+
+async fn call_release<D: Dialect, S: Store>(
+    shared: &Shared<D, S>,
+    tracked: &TrackedTarget,
+    handles: &[String],
+    may_reuse: bool,
+) -> stage_connections::Result<Reply> {
+    let req = post_request::<D>(tracked, D::RELEASE_PATH, D::release_call(handles));
+    let peer = Peer::new(&tracked.target, Purpose::Release);
+    let timeouts = Timeouts { reused: RELEASE_TIMEOUT / 2, new: RELEASE_TIMEOUT };
+    let connections = &shared.stage_connections;
+    let result = connections.call(peer, req, may_reuse, timeouts, MAX_REPLY_BYTES).await;
+    let use_of = match &result {
+        Ok(reply) if reply.is_on_reused() => "reused",
+        Err(stage_connections::Error::Reused(_)) => "unproven",
+        _ => "opened",
+    };
+    count_connection(shared, Purpose::Release, use_of);
+    result
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod response;
 pub mod run;
 mod shared;
+mod stage_connections;
 mod stage_runner;
 mod target_relay;
 mod targets;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
     pub(crate) stage_seconds: Histogram<f64>,
     pub(crate) stage_calls: Counter<u64>,
     pub(crate) stage_pieces: Counter<u64>,
+    pub(crate) stage_connections: Counter<u64>,
     pub(crate) retries: Counter<u64>,
     pub(crate) store_failures: Counter<u64>,
     pub(crate) odd_objects: Counter<u64>,
@@ -52,6 +53,10 @@
             stage_seconds: seconds("marigold_stage_seconds", "Duration of stages by pool"),
             stage_calls: counter("marigold_stage_calls", "Calls with pieces by pool and outcome"),
             stage_pieces: counter("marigold_stage_pieces", "Pieces sent by pool"),
+            stage_connections: counter(
+                "marigold_stage_connections",
+                "Calls with pieces and calls that free results, by purpose and use of a connection",
+            ),
             retries: counter("marigold_retries", "Requests sent to another target, by reason"),
             store_failures: counter("marigold_store_failures", "Failed calls to the store by kind"),
             odd_objects: counter(
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -34,6 +34,7 @@
 use crate::origins::versions::Versions;
 use crate::poison::{self, Poison};
 use crate::request;
+use crate::stage_connections::StageConnections;
 use crate::stage_runner::ReleaseQueue;
 use crate::target_relay;
 use crate::targets::{self, TargetTable};
@@ -86,6 +87,7 @@
     pub(crate) origins: Origins,
     pub(crate) versions: Versions,
     pub(crate) batcher: Batcher,
+    pub(crate) stage_connections: StageConnections,
     pub(crate) release_queue: ReleaseQueue,
     pub(crate) durations: LearnedDurations,
     pub(crate) metrics: Metrics,
@@ -150,6 +152,7 @@
             origins: Origins::default(),
             versions: Versions::default(),
             batcher: Batcher::default(),
+            stage_connections: StageConnections::default(),
             release_queue: ReleaseQueue::default(),
             durations: LearnedDurations::default(),
             metrics,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,8 +1,8 @@
 //! Connections to targets and to the store.
 //!
-//! Each request to a target, also a call of stages, uses a connection of its own. No part of an earlier reply, nor a second
-//! copy of it, can be mistaken for its response, an unresponsive target is detected when the connection is opened, and closing
-//! the connection cancels the request. Connections to the store are reused.
+//! Each request of a caller uses a connection of its own. No part of an earlier reply, nor a second copy of it, can be mistaken
+//! for its response, an unresponsive target is detected when the connection is opened, and closing the connection cancels the
+//! request. Connections to the store and those of stage calls (`stage_connections`) are reused.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -130,6 +130,51 @@
         let response = self.send.send_request(req).await;
         response.map_err(|err| Error::MaybeSent { peer, reason: error_chain(&err) })
     }
+
+    /// Sends a request and reads the complete reply, whose body may have up to `limit` bytes.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] or [`Error::MaybeSent`]; the latter also when the reply is not complete at the deadline.
+    pub(crate) async fn exchange(
+        &mut self,
+        req: Request<Bytes>,
+        deadline: Instant,
+        limit: usize,
+    ) -> Result<Response<Bytes>> {
+        let started = Instant::now();
+        let (peer, local) = (self.peer, self.local);
+        let exchanged = time::timeout_at(deadline, async {
+            let mut req = req.map(Full::new);
+            let host =
+                HeaderValue::try_from(peer.to_string()).expect("an address is a valid header");
+            req.headers_mut().insert(header::HOST, host);
+            let (head, body) = self.send(req).await?.into_parts();
+            let read = Limited::new(body, limit).collect().await;
+            let body = read.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
+                Some(_) => Error::TooLarge { peer, limit },
+                None => {
+                    let reason = format!("reading the reply: {}", error_chain(&*err));
+                    Error::MaybeSent { peer, reason }
+                }
+            })?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        });
+        exchanged.await.unwrap_or_else(|_| {
+            let waited = started.elapsed();
+            let reason =
+                format!("no complete reply within {waited:.1?} on the connection from {local}");
+            Err(Error::MaybeSent { peer, reason })
+        })
+    }
+
+    /// Waits until another request can be sent after a complete reply; returns whether that is so, and nothing else has arrived
+    /// so far.
+    pub(crate) async fn settle(&mut self, timeout: Duration) -> bool {
+        let is_ready = matches!(time::timeout(timeout, self.send.ready()).await, Ok(Ok(())));
+        // Lets the connection's task read what arrived with the reply.
+        tokio::task::yield_now().await;
+        is_ready && self.is_open()
+    }
 }
 
 /// Returns whether an address refuses connections, so that no process listens there.
@@ -138,19 +183,6 @@
     matches!(opened, Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-/// Sends a request on a connection of its own and reads the complete reply, whose body may have up to `limit` bytes.
-///
-/// # Errors
-/// As of [`Client::exchange`].
-pub(crate) async fn call(
-    peer: SocketAddr,
-    req: Request<Bytes>,
-    timeout: Duration,
-    limit: usize,
-) -> Result<Response<Bytes>> {
-    Client::new(peer).exchange(req, false, timeout, limit).await
-}
-
 /// Pool of reused connections to one address, for calls that this process makes itself.
 pub struct Client {
     peer: SocketAddr,
@@ -206,33 +238,12 @@
         deadline: Instant,
         limit: usize,
     ) -> Result<Response<Bytes>> {
-        let started = Instant::now();
-        let local = connection.local;
-        let exchanged = time::timeout_at(deadline, async {
-            let mut req = req.map(Full::new);
-            let host =
-                HeaderValue::try_from(self.peer.to_string()).expect("an address is a valid header");
-            req.headers_mut().insert(header::HOST, host);
-            let (head, body) = connection.send(req).await?.into_parts();
-            let read = Limited::new(body, limit).collect().await;
-            let peer = self.peer;
-            let body = read.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
-                Some(_) => Error::TooLarge { peer, limit },
-                None => {
-                    let reason = format!("reading the reply: {}", error_chain(&*err));
-                    Error::MaybeSent { peer, reason }
-                }
-            })?;
-            Ok(Response::from_parts(head, body.to_bytes()))
-        });
-        let reply = exchanged.await.unwrap_or_else(|_| {
+        let result = connection.exchange(req, deadline, limit).await;
+        if result.is_err() && Instant::now() >= deadline {
             // Connections of one path go silent together, and each would cost a timeout.
             self.idle.lock().clear();
-            let waited = started.elapsed();
-            let reason =
-                format!("no complete reply within {waited:.1?} on the connection from {local}");
-            Err(Error::MaybeSent { peer: self.peer, reason })
-        })?;
+        }
+        let reply = result?;
         if connection.is_open() {
             self.idle.lock().push(connection);
         }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -185,6 +185,7 @@
     full_calls: AtomicUsize,
     /// Number of connections that were accepted.
     connections: AtomicUsize,
+    open_connections: AtomicUsize,
     completed: Mutex<HashMap<String, CompletedPiece>>,
     /// Completed pieces whose results were freed.
     freed: Mutex<HashMap<String, CompletedPiece>>,
@@ -287,6 +288,11 @@
         *self.state.call_fault.lock() = fault;
     }
 
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.state.open_connections.load(Ordering::SeqCst)
+    }
+
     /// Lets the next `count` calls of pieces find no room for any result.
     pub fn fill_for_calls(&self, count: usize) {
         self.state.full_calls.store(count, Ordering::SeqCst);
@@ -341,6 +347,9 @@
                                let stage_call_lock = stage_call_lock.clone();
                                let number = state.connections.fetch_add(1, Ordering::SeqCst);
                                connections.spawn(async move {
+                                   let counted = state.clone();
+                                   counted.open_connections.fetch_add(1, Ordering::SeqCst);
+                                   let _open = CountGuard(&counted.open_connections);
                                    let connection = Connection {
             stream, addr, id, state, options, stage_call_lock, last_reply: None, number,
             };
@@ -381,10 +390,10 @@
     number: usize,
 }
 
-/// Decrements the number of requests in progress when it is dropped.
-struct InProgressGuard<'a>(&'a AtomicUsize);
+/// Decrements a counter when it is dropped.
+struct CountGuard<'a>(&'a AtomicUsize);
 
-impl Drop for InProgressGuard<'_> {
+impl Drop for CountGuard<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
@@ -569,7 +578,7 @@
         self.state.runs.lock().push(run.clone());
         let state = self.state.clone();
         state.in_progress.fetch_add(1, Ordering::SeqCst);
-        let _working = InProgressGuard(&state.in_progress);
+        let _working = CountGuard(&state.in_progress);
         match fault {
             Some(Fault::EndlessHead) => {
                 return self.send_without_end(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n").await;
--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -274,6 +274,26 @@
         }
     }
 
+    /// Publishes a replica of the pool `stage` under the id that it has now, in a pool; the entry of another id is removed.
+    pub async fn publish_stage_replica(&self, number: usize, pool: &str) {
+        let replica = &self.stage_replicas[number];
+        let id = replica.id().borrow().clone();
+        let before = &replica.options.id;
+        if id.as_ref() != Some(before) {
+            remove(&self.platform, &self.written, "servers", before).await;
+        }
+        if let Some(id) = id {
+            let spec = server_spec(pool, replica.addr(), DEFAULT_VERSION, "ready");
+            self.put("servers", &id, &spec).await;
+        }
+    }
+
+    /// Removes the entry of a replica of the pool `stage`.
+    pub async fn remove_stage_replica(&self, number: usize) {
+        let id = &self.stage_replicas[number].options.id;
+        remove(&self.platform, &self.written, "servers", id).await;
+    }
+
     /// Asks the gateways to send nothing more to a data centre.
     pub async fn evacuate(&self, data_centre: &str) {
         self.put("evacuations", data_centre, &json!({})).await;
