Test: results whose handles did not arrive count as used memory

A reply that is not believed leaves results at the target which the owner cannot free. Uncounted, they would make the target refuse pieces for room.

--- a/crates/core/tests/result_memory.rs
+++ b/crates/core/tests/result_memory.rs
@@ -65,3 +65,14 @@
     assert_eq!(memory.used(ms(3_999)), 10);
     assert_eq!(memory.used(ms(4_000)), 0);
 }
+
+/// Results whose handles did not arrive fill the target without being counted.
+#[test]
+fn add_lost_counts_until_the_results_expire() {
+    let mut memory = ResultMemory::default();
+    let call = memory.start_call(300, Duration::from_millis(0));
+    memory.end_call(call);
+    memory.add_lost(300, Duration::from_millis(4_000));
+    assert_eq!(memory.used(Duration::from_millis(3_999)), 300);
+    assert_eq!(memory.used(Duration::from_millis(4_000)), 0);
+}
