Owners of stage pools use the load that targets report

Owners inferred the speed of targets from an average of the durations of calls, which lags behind speeds that change many times a second, and did not know of calls of other owners. core::reported_load estimates the end of a call from the last report, whose weight falls to zero within 0.5 s. Measured averages count alone where targets report nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod poison;
 pub mod rendezvous;
+pub mod reported_load;
 pub mod result_memory;
 pub mod retry;
 pub mod router;
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -9,6 +9,7 @@
 use http::{Method, Request, StatusCode, Uri};
 use marigold_core::connection_reuse;
 use marigold_core::ids::{Name, Uptime};
+use marigold_core::reported_load::LoadReport;
 use marigold_core::result_memory::{CallMemory, ResultMemory};
 use marigold_core::routes::StagePool;
 use marigold_core::stage_queue::{Offer, QueuedPiece, StageQueue};
@@ -139,12 +140,19 @@
     running_calls: u32,
     /// Moving average of the ratio of measured to expected duration of calls; zero before the first call.
     slowdown: f64,
+    report: LoadReport,
     last_call_ended: Uptime,
     backoff_until: Uptime,
     memory: ResultMemory,
     pending_releases: Vec<String>,
 }
 
+impl TargetState {
+    fn slowdown_at(&self, now: Uptime) -> f64 {
+        self.report.slowdown(self.slowdown, now)
+    }
+}
+
 #[derive(Default)]
 struct PoolState {
     queue: StageQueue<Ticket>,
@@ -280,7 +288,7 @@
             data_centre: &tracked.target.data_centre,
             pool_data_centres: &data_centres,
             max_pieces: spec.max_pieces,
-            call_duration,
+            call_duration: target.report.planned_duration(call_duration, now),
             free_bytes: spec.result_memory_bytes.saturating_sub(target.memory.used(now)),
         };
         let pieces = state.queue.dequeue_batch(now, &offer);
@@ -293,7 +301,7 @@
         let result_bytes = pieces.iter().map(|piece| piece.result_bytes).sum();
         let memory = target.memory.start_call(result_bytes, now);
         let tickets = pieces.into_iter().map(|piece| piece.ticket).collect();
-        let call = Call { tickets, memory, slowdown: target.slowdown };
+        let call = Call { tickets, memory, slowdown: target.slowdown_at(now) };
         tokio::spawn(run_call(shared.clone(), tracked, spec.clone(), call));
     }
     if !state.queue.is_empty() && !state.is_redispatch_scheduled {
@@ -312,7 +320,7 @@
     dispatch(&shared, &pool);
 }
 
-/// Returns the free targets, fastest first. Slow ones are omitted while the others suffice.
+/// Returns the free targets, first that at which a call ends first. Slow ones are omitted while the others suffice.
 fn free_targets(
     state: &PoolState,
     targets: &[Arc<TrackedTarget>],
@@ -321,7 +329,14 @@
 ) -> Vec<Arc<TrackedTarget>> {
     let has_backlog = state.queue.len() > spec.max_pieces;
     let slowdown = |tracked: &TrackedTarget| {
-        state.targets.get(&tracked.target.id).map_or(0.0, |target| target.slowdown)
+        state.targets.get(&tracked.target.id).map_or(0.0, |target| target.slowdown_at(now))
+    };
+    let normal = spec.duration(spec.max_pieces);
+    let time_to_end = |tracked: &TrackedTarget| {
+        let target = state.targets.get(&tracked.target.id);
+        target.map_or(Duration::ZERO, |target| {
+            target.report.time_to_end(normal, target.slowdown, now)
+        })
     };
     let is_healthy = |tracked: &TrackedTarget| !tracked.load.snapshot(now).ejected;
     let has_fast =
@@ -337,7 +352,7 @@
         is_idle && is_healthy(tracked) && is_eligible && tracked.hold.until(now).is_none()
     };
     let mut free: Vec<Arc<TrackedTarget>> = targets.iter().filter(is_free).cloned().collect();
-    free.sort_by(|a, b| slowdown(a).total_cmp(&slowdown(b)));
+    free.sort_by_cached_key(|tracked| time_to_end(tracked));
     free
 }
 
@@ -375,6 +390,7 @@
     if is_answer || limit != LimitStatement::Unlimited {
         limits::observe(&shared, &tracked, limit, started);
     }
+    let reported = head.as_ref().filter(|_| is_answer).and_then(|head| head.load);
     if let Some(head) = head.filter(|_| is_answer) {
         announcements::observe(&shared.targets, &tracked, &head, started);
     }
@@ -433,6 +449,9 @@
         target.running_calls -= 1;
         target.last_call_ended = now;
         target.memory.end_call(memory);
+        if let Some(reported) = reported {
+            target.report.observe(reported, now);
+        }
         match outcome {
             "done" => {
                 let ratio = duration.as_secs_f64() / expected.as_secs_f64().max(0.001);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use marigold_core::reported_load::ReportedLoad;
 use marigold_core::routes::Routing;
 use marigold_core::targets::Target;
 
@@ -89,6 +90,8 @@
     pub is_leaving: bool,
     /// Time for which the target wants no requests; set in refusals only.
     pub pause: Option<Duration>,
+    /// Load that the target reports.
+    pub load: Option<ReportedLoad>,
 }
 
 impl ReplyHead {
