--- a/crates/core/src/connection_reuse.rs
+++ b/crates/core/src/connection_reuse.rs
@@ -83,9 +83,14 @@
         is_answer
     }
 
-    /// Records a reply to a call that frees results. Nothing depends on which one it answers.
-    pub fn accept_release(&mut self, terms: ConnectionTerms) {
+    /// Records a reply to a call that frees results; returns whether the results count as freed. `is_settled` says that neither
+    /// further bytes nor the end of the connection came with the reply. On a reused connection, these may mean that it is a
+    /// duplicate and that the target has not received the call.
+    pub fn accept_release(&mut self, terms: ConnectionTerms, is_settled: bool) -> bool {
+        let is_believed = is_settled || !self.is_reused();
+        self.is_usable &= is_settled;
         self.record(terms);
+        is_believed
     }
 
     fn record(&mut self, terms: ConnectionTerms) {
--- a/crates/core/tests/connection_reuse.rs
+++ b/crates/core/tests/connection_reuse.rs
@@ -62,7 +62,7 @@
         assert!(history.accept_results(terms, ["a"]));
         assert_eq!(history.idle_until(ms(5)), None);
         let mut history = ConnectionHistory::new(ms(0));
-        history.accept_release(terms);
+        assert!(history.accept_release(terms, true));
         assert_eq!(history.idle_until(ms(5)), None);
     }
 }
@@ -78,7 +78,8 @@
     }
     // A timeout without meaning neither overflows nor keeps a connection for long.
     let mut history = ConnectionHistory::new(ms(0));
-    history.accept_release(ConnectionTerms { idle_timeout: Some(Duration::MAX), ..SUCCESS });
+    let endless = ConnectionTerms { idle_timeout: Some(Duration::MAX), ..SUCCESS };
+    assert!(history.accept_release(endless, true));
     assert_eq!(history.idle_until(ms(0)), Some(ms(20_000)));
 }
 
@@ -105,3 +106,17 @@
     assert_eq!(reply_timeout(ms(150), 50.0, ms(800)), ms(800));
     assert_eq!(reply_timeout(ms(150), f64::NAN, ms(800)), ms(400));
 }
+
+/// A duplicate confirmed a call that the target had not received, so that its results no longer counted as used memory.
+#[test]
+fn accept_release_doubtful_reply_frees_nothing() {
+    let mut history = ConnectionHistory::new(ms(0));
+    assert!(history.accept_release(SUCCESS, true));
+    assert!(history.idle_until(ms(5)).is_some());
+    assert!(!history.accept_release(SUCCESS, false));
+    assert_eq!(history.idle_until(ms(5)), None);
+    // The first reply on a connection is the answer, whatever follows.
+    let mut history = ConnectionHistory::new(ms(0));
+    assert!(history.accept_release(SUCCESS, false));
+    assert_eq!(history.idle_until(ms(5)), None);
+}
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -697,11 +697,9 @@
             if !reply.is_on_reused() || head.is_leaving || head.pause.is_some() {
                 announcements::observe(&shared.targets, &tracked, &head, sent_at);
             }
-            // More bytes, or the end of the connection, may mean that this was a duplicate and the call was not received.
-            let is_believed = !reply.is_on_reused() || reply.is_settled;
-            shared.stage_connections.accept_release(reply);
+            let is_freed = shared.stage_connections.accept_release(reply);
             start_sweep(&shared);
-            if is_believed {
+            if is_freed {
                 let mut pools = shared.batcher.pools.lock();
                 let state = pools.entry(tracked.target.pool.clone()).or_default();
                 let target = state.targets.entry(tracked.target.id.clone()).or_default();
--- a/crates/gateway/src/stage_connections.rs
+++ b/crates/gateway/src/stage_connections.rs
@@ -86,7 +86,7 @@
 pub(crate) struct Reply {
     pub(crate) response: Response<Bytes>,
     /// Whether the connection was ready for another call after the reply, without further bytes or an end.
-    pub(crate) is_settled: bool,
+    is_settled: bool,
     history: ConnectionHistory,
     connection: Connection,
     peer: Peer,
@@ -181,10 +181,12 @@
         is_answer
     }
 
-    /// Keeps the connection of a reply to a call that frees results, if that is possible.
-    pub(crate) fn accept_release(&self, mut reply: Reply) {
-        reply.history.accept_release(terms(&reply.response));
+    /// Decides whether results count as freed after a reply, and keeps its connection for further calls if that is possible.
+    pub(crate) fn accept_release(&self, mut reply: Reply) -> bool {
+        let is_settled = reply.is_settled;
+        let is_believed = reply.history.accept_release(terms(&reply.response), is_settled);
         self.keep(reply);
+        is_believed
     }
 
     /// Closes the connections to a target whose reply is not believed.
