Test: cold targets get the cold rate of all gateways together

The targets of a service with coldPerS take only so many requests a second for some seconds after a start, and gateways do not read coldRemainingMs at all. Evidence: 89 requests in the busiest second at a cold target with a cold rate of 8, of which 17 are allowed.

--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -274,6 +274,22 @@
         }
     }
 
+    /// Publishes the replicas with a number, of both pools, as cold for some more time.
+    pub async fn set_cold(&self, number: usize, remaining: Duration) {
+        let stage_id = self.stage_replicas[number].options.id.clone();
+        let id = self.replicas[number].id().borrow().clone();
+        for id in id.into_iter().chain([stage_id]) {
+            let entry = {
+                let written = self.written.lock().expect("no panic under the lock");
+                written.get(&("servers".to_owned(), id.clone())).cloned().flatten()
+            };
+            if let Some(mut entry) = entry {
+                entry["coldRemainingMs"] = json!(remaining.as_millis() as u64);
+                self.put("servers", &id, &entry).await;
+            }
+        }
+    }
+
     /// Asks the gateways to send nothing more to a data centre.
     pub async fn evacuate(&self, data_centre: &str) {
         self.put("evacuations", data_centre, &json!({})).await;
