Gateways keep the cold rate of a target together

Cause: a target that has just started, or is cold again, got as many requests as a warm one, and crashes from that. The end of the cold time comes with the list of targets and the rate with the configuration; while a target is cold its limit is the stricter of the rate and what it names, and the owner of the limit grants each request as before. Conclusion: the rate holds for gateways that read the store and for those that get the list from others.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -154,6 +154,8 @@
     pub name: Name,
     /// Set if the targets of the pool run stages.
     pub stage: Option<StagePool>,
+    /// Requests a second that a cold target takes from all gateways together; none if it takes as many as a warm one.
+    pub cold_per_s: Option<f64>,
 }
 
 /// A customer, identified by the key of a request.
--- a/crates/core/src/target_limit.rs
+++ b/crates/core/src/target_limit.rs
@@ -100,6 +100,11 @@
     asks: VecDeque<PastAsk>,
 }
 
+/// Returns the limit in force: the stricter of what the target names in its replies and what it takes because it is cold.
+pub fn in_force(named: Option<f64>, cold: Option<f64>) -> Option<f64> {
+    [named, cold].into_iter().flatten().min_by(f64::total_cmp)
+}
+
 /// Returns the rate, in requests a second, at which the owner of a limit grants requests. `reachable` is the part of the
 /// gateways that it reaches: the others may get grants elsewhere.
 pub fn granted_rate(limit_per_s: f64, reachable: f64) -> f64 {
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -27,6 +27,50 @@
     pub is_leaving: bool,
     /// Start of this instance in milliseconds since the Unix epoch; distinguishes two instances with the same id.
     pub started_at_ms: u64,
+    /// When it stops being cold, zero if it is not cold. In an entry and in a message this is the remaining time, which
+    /// [`Target::read_at`] and [`Target::sent_at`] convert.
+    pub cold_until: Uptime,
+}
+
+/// Longest time for which a target is taken to be cold; a longer one in an entry is an error of the target, and would limit
+/// it for good.
+const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
+
+/// Returns the time for which a target stays cold, zero if the number that it gives is no such time.
+pub fn cold_time(ms: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default();
+    if time <= MAX_COLD_TIME { time } else { Duration::ZERO }
+}
+
+impl Target {
+    /// Sets the end of the cold time, for an entry or a message that was read at `at`.
+    pub fn read_at(mut self, at: Uptime) -> Self {
+        if !self.cold_until.is_zero() {
+            self.cold_until += at;
+        }
+        self
+    }
+
+    /// Sets the remaining cold time, for a message that is sent at `at`.
+    pub fn sent_at(mut self, at: Uptime) -> Self {
+        self.cold_until = self.cold_until.saturating_sub(at);
+        self
+    }
+
+    /// Returns whether two entries differ at most in the cold time, which differs each time that a cold target writes its
+    /// entry.
+    pub fn is_same(&self, other: &Self) -> bool {
+        let Self { id, pool, addr, data_centre, version, slots, is_leaving, started_at_ms, .. } =
+            self;
+        let is_same_start = *id == other.id && *started_at_ms == other.started_at_ms;
+        let is_same_place =
+            *pool == other.pool && *addr == other.addr && *data_centre == other.data_centre;
+        is_same_start
+            && is_same_place
+            && *version == other.version
+            && *slots == other.slots
+            && *is_leaving == other.is_leaving
+    }
 }
 
 impl From<Target> for messages::ListedTarget {
@@ -39,6 +83,9 @@
             slots: target.slots,
             leaving: target.is_leaving,
             started_at_ms: target.started_at_ms,
+            // Casts saturate.
+            cold_remaining_ms: (!target.cold_until.is_zero())
+                .then_some(target.cold_until.as_millis() as u64),
         }
     }
 }
@@ -56,6 +103,7 @@
             slots: wire.slots,
             is_leaving: wire.leaving,
             started_at_ms: wire.started_at_ms,
+            cold_until: cold_time(wire.cold_remaining_ms.unwrap_or(0) as f64),
         })
     }
 }
--- a/crates/core/tests/stream_origin.rs
+++ b/crates/core/tests/stream_origin.rs
@@ -24,6 +24,7 @@
         slots: 1,
         is_leaving: false,
         started_at_ms,
+        cold_until: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/target_limit.rs
+++ b/crates/core/tests/target_limit.rs
@@ -157,3 +157,54 @@
         assert!(urgent < other && other <= time_left / 3, "{urgent:?} {other:?}");
     }
 }
+
+/// A cold target took more than it could bear if its own limit replaced the cold rate, or the other way round.
+#[test]
+fn in_force_is_the_stricter_limit() {
+    assert_eq!(target_limit::in_force(None, None), None);
+    assert_eq!(target_limit::in_force(Some(2.0), None), Some(2.0));
+    assert_eq!(target_limit::in_force(None, Some(8.0)), Some(8.0));
+    assert_eq!(target_limit::in_force(Some(2.0), Some(8.0)), Some(2.0));
+    assert_eq!(target_limit::in_force(Some(20.0), Some(8.0)), Some(8.0));
+}
+
+/// Two gateways that take themselves for the owner must together stay below the rate at which a cold target crashes, also in
+/// the first second of a burst, when the buckets of both are full.
+#[test]
+fn cold_rate_of_two_owners_stays_below_the_bound() {
+    for limit in [0.5, 1.0, 4.0, 8.0, 12.0, 20.0] {
+        let rate = target_limit::granted_rate(limit, 1.0);
+        let mut owners = [Grants::new(Duration::ZERO), Grants::new(Duration::ZERO)];
+        let mut sent = 0;
+        for ms in 60_000..61_000 {
+            for owner in &mut owners {
+                let grant = owner.ask(Duration::from_millis(ms), limit, rate, ask("g", 0, "a", 64));
+                sent += if let Grant::Granted(count) = grant { count } else { 0 };
+            }
+        }
+        println!("cold rate {limit}: {sent} in the first second of a burst");
+        assert!(sent <= (1.5 * limit + 5.0) as u32, "{sent} at {limit}");
+    }
+}
+
+/// Guards against a bucket that denies what a cold target can bear: each denied request asks for another target.
+#[test]
+fn cold_rate_far_above_the_demand_denies_few() {
+    let limit = 8.0;
+    let rate = target_limit::granted_rate(limit, 1.0);
+    let mut grants = Grants::new(Duration::ZERO);
+    let (mut granted, mut denied) = (0, 0);
+    // 2 requests a second on the average, at irregular times, of several gateways and customers.
+    let mut at = Duration::from_secs(1);
+    for number in 0..2_000_u64 {
+        at += Duration::from_millis(number * 7_919 % 1_000);
+        let gateway = format!("g{}", number * 31 % 20);
+        let customer = format!("c{}", number * 17 % 3);
+        match grants.ask(at, limit, rate, ask(&gateway, 0, &customer, 1)) {
+            Grant::Granted(_) => granted += 1,
+            Grant::Denied { .. } => denied += 1,
+        }
+    }
+    println!("granted {granted}, denied {denied}");
+    assert!(denied * 5 <= granted, "granted {granted}, denied {denied}");
+}
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use marigold_core::targets::{Target, TargetList};
+use marigold_core::targets::{self, Target, TargetList};
 use marigold_schema::messages::ListedTarget;
 
 const GRACE_PERIOD: Duration = Duration::from_millis(2_200);
@@ -17,6 +17,7 @@
         slots: 1,
         is_leaving: false,
         started_at_ms: 1,
+        cold_until: Duration::ZERO,
     }
 }
 
@@ -186,3 +187,56 @@
     assert!(!list.announce_leaving(&target("a"), Duration::from_secs(31)));
     assert_eq!(usable(&list), ["a"]);
 }
+
+/// A cold target writes its entry with another remaining time each 1.2 s; its load was lost if that made it another target.
+#[test]
+fn is_same_ignores_the_cold_time_only() {
+    let cold = Target { cold_until: Duration::from_secs(5), ..target("a") };
+    assert!(cold.is_same(&target("a")));
+    let others = [
+        target("b"),
+        Target { pool: "others".to_owned(), ..target("a") },
+        Target { addr: "10.0.0.1:8001".parse().unwrap(), ..target("a") },
+        Target { data_centre: "south".to_owned(), ..target("a") },
+        Target { version: "v2".to_owned(), ..target("a") },
+        Target { slots: 2, ..target("a") },
+        Target { is_leaving: true, ..target("a") },
+        Target { started_at_ms: 2, ..target("a") },
+    ];
+    for other in others {
+        assert!(!target("a").is_same(&other), "{other:?}");
+    }
+}
+
+/// Two gateways have different clocks, so a message tells the remaining time.
+#[test]
+fn cold_time_counts_from_the_read_and_shrinks_on_the_way() {
+    let parsed = Target { cold_until: Duration::from_secs(5), ..target("a") };
+    let read = parsed.read_at(Duration::from_secs(100));
+    assert_eq!(read.cold_until, Duration::from_secs(105));
+    let wire = ListedTarget::from(read.clone().sent_at(Duration::from_secs(102)));
+    assert_eq!(wire.cold_remaining_ms, Some(3_000));
+    let relayed = Target::try_from(("a".to_owned(), wire)).unwrap();
+    assert_eq!(relayed.read_at(Duration::from_secs(40)).cold_until, Duration::from_secs(43));
+    let late = ListedTarget::from(read.sent_at(Duration::from_secs(106)));
+    assert_eq!(late.cold_remaining_ms, None);
+}
+
+/// A target that is not cold, or with a message of a gateway that does not know the field, must not become cold by the read.
+#[test]
+fn cold_time_of_a_warm_target_stays_zero() {
+    assert_eq!(target("a").read_at(Duration::from_secs(100)).cold_until, Duration::ZERO);
+    let wire = ListedTarget::from(target("a"));
+    assert_eq!(wire.cold_remaining_ms, None);
+    let odd = ListedTarget { cold_remaining_ms: Some(u64::MAX), ..wire };
+    assert_eq!(Target::try_from(("a".to_owned(), odd)).unwrap().cold_until, Duration::ZERO);
+}
+
+/// An odd number in an entry limited its target, for good if it was large.
+#[test]
+fn cold_time_of_odd_numbers_is_zero() {
+    for odd in [-1.0, 0.0, -0.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY, f64::MAX, 1e12] {
+        assert_eq!(targets::cold_time(odd), Duration::ZERO, "{odd}");
+    }
+    assert_eq!(targets::cold_time(1_500.0), Duration::from_millis(1_500));
+}
--- a/crates/core/tests/version_set.rs
+++ b/crates/core/tests/version_set.rs
@@ -143,6 +143,7 @@
         slots: 1,
         is_leaving: false,
         started_at_ms: 1,
+        cold_until: Duration::ZERO,
     }
 }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -259,7 +259,10 @@
     }
 
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime) {
-        let changes = changes.parse(|object| read_target(shared, object));
+        // A watch is answered at the latest after its wait time, so an entry was written before then.
+        let read_at = sent + TARGETS_WAIT;
+        let read = |object: &Object| Some(read_target(shared, object)?.read_at(read_at));
+        let changes = changes.parse(read);
         apply_target_changes(shared, &changes, after, sent);
     }
 }
@@ -288,6 +291,9 @@
         return;
     }
     let now = boottime::now();
+    let listed = changes.objects.iter().filter_map(|object| object.value.as_ref());
+    // Before the table is changed, so that no request is sent to a cold target without its limit.
+    shared.limits.record_cold(listed, now);
     let grace_period = shared.grace_period();
     let recovered_at = shared.store_recovered_at();
     let held = shared.targets.update(|list| {
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,10 +1,12 @@
-//! Limits that targets name in their replies, and the requests that this gateway may send to such targets.
+//! Limits that targets name in their replies or have because they are cold, and the requests that this gateway may send to
+//! such targets.
 //!
 //! The owner of a target's limit grants each request. It is the owner of the pool where the pool has one, since that
 //! gateway sends the calls to it, and is chosen by hashing otherwise. Gateways that know no limit of a target send
-//! without asking; the first reply tells them.
+//! without asking; the first reply tells them. That a target is cold is known from the list of targets.
 
 mod asks;
+mod cold;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -104,8 +106,12 @@
 struct TargetLimit {
     pool: Name,
     notice: Notice,
-    /// When this gateway learned of the last change of the limit.
-    changed_at: Uptime,
+    /// When the target stops being cold; zero if it is not.
+    cold_until: Uptime,
+    /// Requests a second that a cold target of the pool takes.
+    cold_per_s: Option<f64>,
+    /// When this gateway learned of the last change of the limit that the target names; `None` without such a change.
+    changed_at: Option<Uptime>,
     last_used: Uptime,
     holds: Vec<Hold>,
     reserve: Reserve,
@@ -120,7 +126,9 @@
         Self {
             pool,
             notice: Notice { per_s: None, sent_at: Uptime::ZERO, received_at: Uptime::ZERO },
-            changed_at: now,
+            cold_until: Uptime::ZERO,
+            cold_per_s: None,
+            changed_at: None,
             last_used: now,
             holds: Vec::new(),
             reserve: Reserve::default(),
@@ -135,7 +143,7 @@
         self.notice = self.notice.merge(notice);
         let limit = self.notice.per_s;
         if limit != before {
-            self.changed_at = boottime::now();
+            self.changed_at = Some(boottime::now());
             tracing::info!(
                 target = id,
                 pool = self.pool,
@@ -145,19 +153,31 @@
                 "limit of target changed"
             );
         }
-        if limit.is_none() {
+        if self.in_force(boottime::now()).is_none() {
             self.holds.clear();
         }
     }
 
+    /// Returns what the target takes because it is cold.
+    fn cold(&self, now: Uptime) -> Option<f64> {
+        self.cold_per_s.filter(|_| now < self.cold_until)
+    }
+
+    /// Returns the limit in force, in requests a second.
+    fn in_force(&self, now: Uptime) -> Option<f64> {
+        target_limit::in_force(self.notice.per_s, self.cold(now))
+    }
+
     fn is_held(&self, demand: Demand<'_>, now: Uptime) -> bool {
-        self.notice.per_s.is_some() && self.holds.iter().any(|hold| hold.applies_to(demand, now))
+        self.in_force(now).is_some() && self.holds.iter().any(|hold| hold.applies_to(demand, now))
     }
 
-    /// Grants requests as the owner of the limit; all of them if the target names no limit.
-    fn grant(&mut self, now: Uptime, reachable: f64, ask: Ask) -> Grant {
+    /// Grants requests as the owner of the limit; all of them if the target has no limit. `cold` is what the target takes
+    /// because it is cold as far as the gateway that asks knows: the owner may not have the entry yet.
+    fn grant(&mut self, now: Uptime, reachable: f64, cold: Option<f64>, ask: Ask) -> Grant {
         self.last_used = now;
-        let Some(per_s) = self.notice.per_s else { return Grant::Granted(ask.wanted) };
+        let per_s = target_limit::in_force(self.in_force(now), cold);
+        let Some(per_s) = per_s else { return Grant::Granted(ask.wanted) };
         let rate = target_limit::granted_rate(per_s, reachable);
         self.grants.get_or_insert_with(|| Grants::new(now)).ask(now, per_s, rate, ask)
     }
@@ -184,10 +204,12 @@
     }
 }
 
-/// Limits of the targets that have named one.
+/// Limits of the targets that have named one, or are cold.
 #[derive(Default)]
 pub(crate) struct Limits {
     targets: Mutex<HashMap<TargetStart, TargetLimit>>,
+    /// Requests a second that a cold target takes, by pool. Locked before `targets`.
+    cold_rates: Mutex<HashMap<Name, f64>>,
     /// Number of entries, so that requests do not take the lock while no target has a limit.
     count: AtomicUsize,
 }
@@ -196,8 +218,8 @@
 enum Step {
     Send,
     Skip,
-    /// Ask the owner of the limit for so many requests; the message holds what is known of the limit.
-    Ask(Notice, u32),
+    /// Ask the owner of the limit for so many requests; the message holds what is known of the limit, and of the cold rate.
+    Ask(Notice, Option<f64>, u32),
 }
 
 impl Limits {
@@ -217,7 +239,7 @@
         }
         let targets = self.targets.lock();
         let held = targets.iter().filter(|(_, limit)| {
-            limit.is_held(demand, now) || (includes_all && limit.notice.per_s.is_some())
+            limit.is_held(demand, now) || (includes_all && limit.in_force(now).is_some())
         });
         held.map(|((id, _), _)| id.clone()).collect()
     }
@@ -227,7 +249,7 @@
         if self.is_empty() {
             return None;
         }
-        self.targets.lock().get(&start_of(tracked))?.notice.per_s
+        self.targets.lock().get(&start_of(tracked))?.in_force(boottime::now())
     }
 
     /// Removes limits that are not needed; `is_listed` returns whether a start of a target is in the list of targets.
@@ -238,7 +260,8 @@
         let mut targets = self.targets.lock();
         targets.retain(|(id, started_at_ms), limit| {
             let is_limited = limit.notice.per_s.is_some() && is_listed(id, *started_at_ms);
-            is_limited || now < limit.last_used + RETENTION
+            limit.log_cold_end(id, now);
+            is_limited || now < limit.cold_until || now < limit.last_used + RETENTION
         });
         self.count.store(targets.len(), Ordering::Relaxed);
     }
@@ -249,9 +272,9 @@
             return Vec::new();
         }
         let targets = self.targets.lock();
-        let used = targets
-            .iter()
-            .filter(|(_, limit)| limit.notice.per_s.is_some() && now < limit.last_used + RETENTION);
+        let used = targets.iter().filter(|(_, limit)| {
+            limit.in_force(now).is_some() && now < limit.last_used + RETENTION
+        });
         used.map(|((id, _), limit)| (id.clone(), limit.pool.clone())).collect()
     }
 
@@ -261,7 +284,8 @@
             return Vec::new();
         }
         let targets = self.targets.lock();
-        let is_changed = |limit: &TargetLimit| now < limit.changed_at + TELLING_TIME;
+        let is_changed =
+            |limit: &TargetLimit| limit.changed_at.is_some_and(|at| now < at + TELLING_TIME);
         let changed = targets.iter().filter(|(_, limit)| is_changed(limit)).take(MAX_TOLD);
         changed.map(|(start, limit)| asks::to_target_limit(start, limit, now)).collect()
     }
@@ -292,7 +316,7 @@
         }
         let mut targets = self.targets.lock();
         let Some(limit) = targets.get_mut(&start_of(tracked)) else { return Step::Send };
-        if limit.notice.per_s.is_none() {
+        if limit.in_force(now).is_none() {
             return Step::Send;
         }
         limit.last_used = now;
@@ -303,7 +327,7 @@
             return Step::Send;
         }
         limit.pending_asks += 1;
-        Step::Ask(limit.notice, limit.reserve.wanted.max(1))
+        Step::Ask(limit.notice, limit.cold(now), limit.reserve.wanted.max(1))
     }
 
     fn with_target<T>(
@@ -319,6 +343,7 @@
         let mut pools: HashMap<Name, PoolLimits> = HashMap::new();
         for limit in self.targets.lock().values() {
             let pool = pools.entry(limit.pool.clone()).or_default();
+            pool.cold_targets += u64::from(limit.cold(now).is_some());
             let Some(per_s) = limit.notice.per_s else { continue };
             pool.targets += 1;
             pool.per_s += per_s;
@@ -330,10 +355,11 @@
     }
 }
 
-/// Limited targets of one pool.
+/// Limited and cold targets of one pool.
 #[derive(Default)]
 pub(crate) struct PoolLimits {
     pub(crate) targets: u64,
+    pub(crate) cold_targets: u64,
     pub(crate) per_s: f64,
     pub(crate) oldest_notice_s: f64,
 }
@@ -370,8 +396,13 @@
         && let Owner::Remote(owner) = shared.members.limit_owner(&tracked.target)
     {
         // The other gateways learn from the owner that they need no more grants.
-        let ask =
-            asks::to_message(shared, tracked, Demand { priority: 0, customer: None }, 0, notice);
+        let ask = asks::to_message(
+            shared,
+            tracked,
+            Demand { priority: 0, customer: None },
+            0,
+            (notice, None),
+        );
         tokio::spawn(async move {
             if let Err(err) = peers::ask_limit(&owner, ask).await {
                 tracing::debug!(member = owner.name, err, "end of a limit not reported");
@@ -387,10 +418,10 @@
     demand: Demand<'_>,
 ) -> bool {
     let asked_at = boottime::now();
-    let (notice, wanted) = match shared.limits.next_step(tracked, demand, asked_at) {
+    let (notice, cold, wanted) = match shared.limits.next_step(tracked, demand, asked_at) {
         Step::Send => return true,
         Step::Skip => return false,
-        Step::Ask(notice, wanted) => (notice, wanted),
+        Step::Ask(notice, cold, wanted) => (notice, cold, wanted),
     };
     let _pending = PendingAsk { limits: &shared.limits, tracked };
     let (is_granted, outcome) = match shared.members.limit_owner(&tracked.target) {
@@ -399,7 +430,7 @@
             (is_granted, if is_granted { "granted" } else { "denied" })
         }
         Owner::Remote(owner) => {
-            let ask = asks::to_message(shared, tracked, demand, wanted, notice);
+            let ask = asks::to_message(shared, tracked, demand, wanted, (notice, cold));
             match peers::ask_limit(&owner, ask).await {
                 Ok(answer) => {
                     let is_granted = asks::apply_answer(shared, tracked, demand, asked_at, &answer);
@@ -446,10 +477,10 @@
         wanted,
     };
     let apply = |limit: &mut TargetLimit| {
-        let grant = limit.grant(now, reachable, ask);
+        let grant = limit.grant(now, reachable, None, ask);
         limit.apply(grant, now, now, demand)
     };
-    // A target without an entry has named no limit.
+    // A target without an entry has no limit.
     shared.limits.with_target(tracked, apply).unwrap_or(true)
 }
 
--- a/crates/gateway/src/limits/asks.rs
+++ b/crates/gateway/src/limits/asks.rs
@@ -19,13 +19,14 @@
 /// serve the request.
 pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Returns the ask for requests to a target.
+/// Returns the ask for requests to a target; the pair is what this gateway knows of its limit, and of its
+/// cold rate while it is cold.
 pub(super) fn to_message<D: Dialect, S>(
     shared: &Shared<D, S>,
     tracked: &TrackedTarget,
     demand: Demand<'_>,
     wanted: u32,
-    notice: Notice,
+    (notice, cold_per_s): (Notice, Option<f64>),
 ) -> LimitAsk {
     let (target, started_at_ms) = start_of(tracked);
     LimitAsk {
@@ -37,6 +38,7 @@
         customer: demand.customer.map(str::to_owned),
         wanted,
         notice: notice_message(notice, boottime::now()),
+        cold_per_s,
     }
 }
 
@@ -136,6 +138,7 @@
     }
     let limit = targets.entry(start).or_insert_with(|| TargetLimit::new(ask.pool.clone(), now));
     limit.merge(&ask.target, notice, "gateway");
+    let cold = ask.cold_per_s.filter(|per_s| per_s.is_finite() && *per_s > 0.0);
     let question = Ask {
         gateway: ask.gateway,
         priority: ask.priority,
@@ -144,7 +147,7 @@
     };
     let grant = match ask.wanted {
         0 => Grant::Granted(0),
-        _ => limit.grant(now, reachable, question),
+        _ => limit.grant(now, reachable, cold, question),
     };
     let notice = notice_message(limit.notice, now);
     shared.limits.count.store(targets.len(), Ordering::Relaxed);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     pub(crate) streams_not_continued: Counter<u64>,
     pub(crate) origins_stored_late: Counter<u64>,
     pub(crate) limited_targets: Gauge<u64>,
+    pub(crate) cold_targets: Gauge<u64>,
     pub(crate) target_limits: Gauge<f64>,
     pub(crate) limit_age: Gauge<f64>,
     pub(crate) limit_asks: Counter<u64>,
@@ -97,6 +98,10 @@
                 .u64_gauge("marigold_limited_targets")
                 .with_description("Targets that name a limit, by pool")
                 .build(),
+            cold_targets: meter
+                .u64_gauge("marigold_cold_targets")
+                .with_description("Targets that are cold and get the cold rate, by pool")
+                .build(),
             target_limits: meter
                 .f64_gauge("marigold_target_limits_per_second")
                 .with_description("Sum of the limits that targets name, by pool")
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -313,8 +313,8 @@
     if let Some(service) = service {
         merge_store_service(shared, &service, sent);
     }
-    let (changes, at) =
-        target_relay::parse(&state, objects, sent).map_err(|err| err.to_string())?;
+    let (changes, at) = target_relay::parse(&state, objects, sent, boottime::now())
+        .map_err(|err| err.to_string())?;
     discovery::apply_target_changes(shared, &changes, after, at);
     if shared.target_changes.lock().version() == changes.version {
         shared.record_relayed_targets(at);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -220,6 +220,7 @@
                 self.metrics.config_version.record(routing.version, &[]);
                 self.durations.retain(&routing);
                 self.record_moved_routes(&routing);
+                self.limits.set_cold_rates(&routing);
                 self.adopted
                     .store(Some(Arc::new(AdoptedConfig { text: text.to_owned(), routing })));
                 self.members.set_pools(self.pools_with_stages());
@@ -503,6 +504,7 @@
         for (pool, limits) in self.limits.summary(now) {
             let labels = [KeyValue::new("pool", pool)];
             self.metrics.limited_targets.record(limits.targets, &labels);
+            self.metrics.cold_targets.record(limits.cold_targets, &labels);
             self.metrics.target_limits.record(limits.per_s, &labels);
             self.metrics.limit_age.record(limits.oldest_notice_s, &labels);
         }
--- a/crates/gateway/src/target_relay.rs
+++ b/crates/gateway/src/target_relay.rs
@@ -37,7 +37,7 @@
     let objects = changes.objects.into_iter().map(|object| TargetObject {
         name: object.name,
         version: to_message(object.version),
-        target: object.value.map(Target::into),
+        target: object.value.map(|target| target.sent_at(now).into()),
     });
     Some(TargetChanges { state: state(recent, now)?, objects: objects.collect(), service })
 }
@@ -76,7 +76,8 @@
     to_message(after)
 }
 
-/// Converts an answer to a question sent at `sent` into the changes and the time at which they were the newest.
+/// Converts an answer to a question sent at `sent` into the changes and the time at which they were the newest. `received` is
+/// when the answer arrived: cold times count from then, since the peer determined the remaining ones before.
 ///
 /// # Errors
 /// When the address of a target is invalid.
@@ -84,11 +85,13 @@
     state: &TargetsState,
     objects: Vec<TargetObject>,
     sent: Uptime,
+    received: Uptime,
 ) -> Result<(Changes<Target>, Uptime), AddrParseError> {
     let convert = |object: TargetObject| {
         let target = object.target.map(|wire| Target::try_from((object.name.clone(), wire)));
         let version = from_message(&object.version);
-        Ok(Object { name: object.name, version, value: target.transpose()? })
+        let target = target.transpose()?.map(|target| target.read_at(received));
+        Ok(Object { name: object.name, version, value: target })
     };
     let objects = objects.into_iter().map(convert).collect::<Result<_, _>>()?;
     let version = from_message(&state.version);
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -176,7 +176,8 @@
             old.values().flatten().map(|tracked| (tracked.target.id.as_str(), tracked)).collect();
         let mut pools = Pools::new();
         for target in list.usable() {
-            let kept = by_id.get(target.id.as_str()).filter(|tracked| tracked.target == *target);
+            let kept =
+                by_id.get(target.id.as_str()).filter(|tracked| tracked.target.is_same(target));
             let tracked = kept.map(|tracked| Arc::clone(tracked)).unwrap_or_else(|| {
                 let same_start = by_id
                     .get(target.id.as_str())
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -985,6 +985,10 @@
 ///    "wanted"
 ///  ],
 ///  "properties": {
+///    "cold_per_s": {
+///      "description": "Requests a second that the target takes because it is cold, as the gateway knows; absent if it is not cold.",
+///      "type": "number"
+///    },
 ///    "customer": {
 ///      "type": "string"
 ///    },
@@ -1022,6 +1026,9 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LimitAsk {
+    ///Requests a second that the target takes because it is cold, as the gateway knows; absent if it is not cold.
+    #[serde(default)]
+    pub cold_per_s: ::std::option::Option<f64>,
     #[serde(default)]
     pub customer: ::std::option::Option<::std::string::String>,
     ///Name of the gateway.
@@ -1145,6 +1152,11 @@
 ///      "description": "IP address and port.",
 ///      "type": "string"
 ///    },
+///    "cold_remaining_ms": {
+///      "description": "Time for which it stays cold, as of the message, in milliseconds; absent if it is not cold.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "data_centre": {
 ///      "type": "string"
 ///    },
@@ -1175,6 +1187,9 @@
 pub struct ListedTarget {
     ///IP address and port.
     pub address: ::std::string::String,
+    ///Time for which it stays cold, as of the message, in milliseconds; absent if it is not cold.
+    #[serde(default)]
+    pub cold_remaining_ms: ::std::option::Option<u64>,
     pub data_centre: ::std::string::String,
     pub leaving: bool,
     pub pool: ::std::string::String,
