--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -260,6 +260,15 @@
 
     /// Publishes the replicas with a number, of both pools, in another data centre.
     pub async fn move_replicas(&self, number: usize, data_centre: &str) {
+        self.change_entries(number, "zone", json!(data_centre)).await;
+    }
+
+    /// Publishes the replicas with a number, of both pools, as cold for some more time.
+    pub async fn set_cold(&self, number: usize, remaining: Duration) {
+        self.change_entries(number, "coldRemainingMs", json!(remaining.as_millis() as u64)).await;
+    }
+
+    async fn change_entries(&self, number: usize, field: &str, value: Value) {
         let stage_id = self.stage_replicas[number].options.id.clone();
         let id = self.replicas[number].id().borrow().clone();
         for id in id.into_iter().chain([stage_id]) {
@@ -268,7 +277,7 @@
                 written.get(&("servers".to_owned(), id.clone())).cloned().flatten()
             };
             if let Some(mut entry) = entry {
-                entry["zone"] = json!(data_centre);
+                entry[field] = value.clone();
                 self.put("servers", &id, &entry).await;
             }
         }
