--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fanout;
 pub mod freshness;
 pub mod head;
+pub mod hedge;
 pub mod ids;
 pub mod ledger;
 pub mod licence;
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -154,6 +154,8 @@
     limit: Mutex<Option<String>>,
     /// Whether each reply says that the replica leaves.
     is_leaving: AtomicBool,
+    /// Delay before each plain response and the first event of each stream, in addition to that of the options.
+    extra_delay: Mutex<Duration>,
     /// Value of `Retry-After` with which the replica refuses all requests.
     pause: Mutex<Option<String>>,
     /// Whether each reply to a stage call comes a second time, when the next call has arrived on its connection.
@@ -265,6 +267,11 @@
         self.state.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Delays each plain response and the first event of each stream from now on.
+    pub fn set_extra_delay(&self, delay: Duration) {
+        *self.state.extra_delay.lock() = delay;
+    }
+
     /// Refuses all requests with this value of `Retry-After` from now on; `None` ends it.
     pub fn set_pause(&self, pause: Option<&str>) {
         *self.state.pause.lock() = pause.map(str::to_owned);
@@ -528,6 +535,15 @@
             self.state.crash.notify_one();
             return std::future::pending().await;
         }
+        let extra_delay = *self.state.extra_delay.lock();
+        if !extra_delay.is_zero() {
+            let mut buf = [0; 1];
+            tokio::select! {
+                // A caller cancels its request by closing the connection.
+                _ = self.stream.read(&mut buf) => return Ok(()),
+                () = time::sleep(extra_delay) => {}
+            }
+        }
         if run.request_line.contains("/stream/") {
             return self.stream_events(&run, &headers, fault).await;
         }
