Gateway: hedged requests, off by default

Both attempts run in one task. The first success is the answer, the other attempt's connection is closed, and a refusal is sent only if neither attempt may have run. Without the setting no race begins.

--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -9,19 +9,21 @@
 /// Share of the answers that arrive before a hedge is sent. A lower one spends the budget on requests that are about to be
 /// answered anyway.
 pub const QUANTILE: f64 = 0.95;
-/// Number of samples, older ones counted less, below which nothing is hedged. With 50 samples, two or three lie above the
-/// quantile.
-pub const MIN_SAMPLES: f64 = 50.0;
+/// Number of samples, older ones counted less, below which nothing is hedged. With fewer, none lies above the quantile.
+pub const MIN_SAMPLES: f64 = 20.0;
 /// Share of a pool's slots in use above which nothing is hedged. At higher loads requests wait because of each other, and
 /// extra ones make all of them wait longer.
 pub const MAX_POOL_LOAD: f64 = 0.7;
 /// Time after a refusal of one of a pool's targets for which nothing is hedged there.
 pub const REFUSAL_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time in which the weight of a sample halves.
-const HALF_LIFE: Duration = Duration::from_secs(10);
-/// Number of half-lives after which nothing is left of the samples.
-const MAX_HALVINGS: u32 = 10;
+/// Time in which the weight of a sample halves. A gateway of a large fleet serves about one request a second, of several
+/// routes; with 10 s it never has enough samples of one route.
+const HALF_LIFE: Duration = Duration::from_secs(60);
+/// Interval at which the weights are reduced.
+const DECAY_INTERVAL: Duration = Duration::from_secs(10);
+/// Number of intervals after which nothing is left of the samples: ten half-lives.
+const MAX_DECAYS: u32 = 60;
 /// Upper bound of the first bucket of durations, in seconds.
 const FIRST_BOUND_S: f64 = 0.001;
 /// Ratio of the bounds of two successive buckets; the error of a quantile is at most this.
@@ -68,12 +70,12 @@
 pub struct FirstByteTimes {
     /// Weights of the samples by duration.
     weights: Vec<f32>,
-    halved_at: Option<Uptime>,
+    decayed_at: Option<Uptime>,
 }
 
 impl Default for FirstByteTimes {
     fn default() -> Self {
-        Self { weights: vec![0.0; BUCKETS], halved_at: None }
+        Self { weights: vec![0.0; BUCKETS], decayed_at: None }
     }
 }
 
@@ -103,16 +105,19 @@
     }
 
     fn decay(&mut self, now: Uptime) {
-        let halved_at = *self.halved_at.get_or_insert(now);
-        let halvings = now.saturating_sub(halved_at).as_millis() / HALF_LIFE.as_millis();
-        let halvings = halvings.min(u128::from(MAX_HALVINGS)) as u32;
-        if halvings == 0 {
+        let decayed_at = *self.decayed_at.get_or_insert(now);
+        let decays = now.saturating_sub(decayed_at).as_millis() / DECAY_INTERVAL.as_millis();
+        if decays == 0 {
             return;
         }
-        let factor = if halvings == MAX_HALVINGS { 0.0 } else { 0.5_f32.powi(halvings as i32) };
+        if decays >= u128::from(MAX_DECAYS) {
+            *self = Self { decayed_at: Some(now), ..Self::default() };
+            return;
+        }
+        let elapsed = DECAY_INTERVAL * decays as u32;
+        let factor = 0.5_f32.powf(elapsed.as_secs_f32() / HALF_LIFE.as_secs_f32());
         self.weights.iter_mut().for_each(|weight| *weight *= factor);
-        self.halved_at =
-            Some(if halvings == MAX_HALVINGS { now } else { halved_at + HALF_LIFE * halvings });
+        self.decayed_at = Some(decayed_at + elapsed);
     }
 }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a target, and to further targets when a retry is allowed.
 
 mod continuation;
+pub(crate) mod hedge;
 mod held;
 mod limited;
 mod quarantined;
@@ -23,6 +24,7 @@
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
+use self::hedge::LoadGuard;
 use crate::announcements;
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits;
@@ -127,6 +129,8 @@
     pub(crate) begun: Option<continuation::Begun>,
     /// Targets to which the request is not sent again.
     pub(crate) tried: HashSet<Name>,
+    /// Set while the request may be hedged, or has been.
+    pub(crate) race: Option<Arc<hedge::Race<D, S>>>,
 }
 
 impl<D: Dialect, S: Store> Attempts<D, S> {
@@ -211,7 +215,7 @@
 
     /// Returns whether the route allows the request to run at another target.
     fn can_retry(&self) -> bool {
-        self.route.repeat != Repeat::Never && self.runs < self.route.max_attempts
+        self.route.repeat != Repeat::Never && self.total_runs() < self.route.max_attempts
     }
 
     /// Withdraws a retry from the pool's budget; returns false when the budget is exhausted.
@@ -254,7 +258,7 @@
             let is_version =
                 self.begun.as_ref().is_none_or(|begun| begun.version == tracked.target.version);
             let is_held = held.contains(id) || tracked.hold.until(now).is_some();
-            is_version && !self.tried.contains(id) && !is_held
+            is_version && !self.tried.contains(id) && !is_held && !self.is_hedge_target(id)
         };
         let mut untried: Vec<Arc<TrackedTarget>> =
             targets.into_iter().filter(is_candidate).collect();
@@ -288,9 +292,10 @@
     /// A refusal when the request has not run at any target, and another failure when it may have run.
     pub(crate) async fn send(
         &mut self,
-        mut results: Results<D, S>,
+        results: Results<D, S>,
         resume_after: Option<u64>,
     ) -> Result<Reply, Failure> {
+        let mut results = Arc::new(results);
         let mut not_run = 0;
         // Targets whose limits left no request for this one.
         let mut denied = HashSet::new();
@@ -355,9 +360,15 @@
                 load_at_send,
             };
             self.runs += 1;
-            let response = match connection.send(req).await {
+            self.on_first_sent(&tracked, now, &results);
+            // A hedge may win before this target replies, which ends the call.
+            let load = self.race.as_ref().map(|_| LoadGuard::new(&tracked));
+            let response = connection.send(req).await;
+            load.into_iter().for_each(LoadGuard::release);
+            let response = match response {
                 Ok(response) => response,
                 Err(err) => {
+                    self.on_first_failed();
                     let sent = sent(connection);
                     sent.on_failure();
                     self.on_break(&sent, false);
@@ -382,6 +393,8 @@
             if !(head.not_run && is_own_reply) {
                 return Ok(Reply { sent, head, response });
             }
+            self.on_first_failed();
+            self.on_refused_by_target(now);
             self.runs -= 1;
             not_run += 1;
             let status = response.status();
@@ -398,13 +411,13 @@
             if status == StatusCode::CONFLICT {
                 // An input was lost with the target that held it; this target is healthy.
                 self.tried.remove(&tracked.target.id);
-                results = self.run_stages(boottime::now()).await?;
+                results = Arc::new(self.run_stages(boottime::now()).await?);
             }
         }
     }
 
     fn no_target_failure(&self) -> Failure {
-        if self.runs > 0 {
+        if self.total_runs() > 0 {
             return Failure::new(
                 StatusCode::BAD_GATEWAY,
                 "the request may have run at a target that failed",
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -31,6 +31,11 @@
 }
 
 impl Begun {
+    /// Creates the beginning of a stream of which only the version is known.
+    pub(super) fn at_version(version: SoftwareVersion) -> Self {
+        Self { version, origin: None }
+    }
+
     /// Returns whether there is a record of the stream.
     pub(super) fn is_recorded(&self) -> bool {
         self.origin.is_some()
--- a/crates/gateway/src/attempts/held.rs
+++ b/crates/gateway/src/attempts/held.rs
@@ -42,7 +42,7 @@
 
     /// Returns the failure of a request whose targets all want a pause, which ends after `wait` at the earliest.
     pub(super) fn hold_failure(&self, wait: Duration) -> Failure {
-        if self.runs > 0 {
+        if self.total_runs() > 0 {
             return self.no_target_failure();
         }
         let time_left = self.deadline.saturating_sub(boottime::now()).saturating_sub(wait);
--- a/crates/gateway/src/attempts/limited.rs
+++ b/crates/gateway/src/attempts/limited.rs
@@ -41,7 +41,7 @@
 
     /// Returns the failure of a request for which the limits of the targets leave no place.
     pub(super) fn limit_failure(&self) -> Failure {
-        if self.runs > 0 {
+        if self.total_runs() > 0 {
             return self.no_target_failure();
         }
         let labels = [KeyValue::new("pool", self.pool.clone())];
--- a/crates/gateway/src/attempts/quarantined.rs
+++ b/crates/gateway/src/attempts/quarantined.rs
@@ -51,7 +51,7 @@
         } else {
             format!("requests with the same {suspects} crashed {crashes} targets and are refused")
         };
-        if self.runs > 0 {
+        if self.total_runs() > 0 {
             return Failure::new(StatusCode::BAD_GATEWAY, reason);
         }
         let retry_after = entry.time_to_probe(boottime::now()).max(MIN_RETRY_AFTER);
@@ -63,11 +63,11 @@
         if self.is_probe || self.quarantine().is_some() {
             return true;
         }
-        if self.lost_targets.len() < MAX_LOST_TARGETS {
+        let lost = self.all_lost_targets();
+        if lost.len() < MAX_LOST_TARGETS {
             return false;
         }
-        let ended =
-            self.lost_targets.iter().map(|tracked| upstream::is_refused(tracked.target.addr));
+        let ended = lost.iter().map(|tracked| upstream::is_refused(tracked.target.addr));
         let ended = future::join_all(ended).await;
         ended.into_iter().filter(|has_ended| *has_ended).count() >= MAX_LOST_TARGETS
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod evacuations;
 pub mod gateway;
 mod head_timeout;
+mod hedging;
 mod http_server;
 mod learned_durations;
 mod limits;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,8 @@
     pub(crate) stage_calls: Counter<u64>,
     pub(crate) stage_pieces: Counter<u64>,
     pub(crate) retries: Counter<u64>,
+    pub(crate) hedges: Counter<u64>,
+    pub(crate) hedges_denied: Counter<u64>,
     pub(crate) store_failures: Counter<u64>,
     pub(crate) odd_objects: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
@@ -53,6 +55,14 @@
             stage_calls: counter("marigold_stage_calls", "Calls with pieces by pool and outcome"),
             stage_pieces: counter("marigold_stage_pieces", "Pieces sent by pool"),
             retries: counter("marigold_retries", "Requests sent to another target, by reason"),
+            hedges: counter(
+                "marigold_hedges",
+                "Hedged requests by pool and event: sent, won, cancelled (either attempt) or failed",
+            ),
+            hedges_denied: counter(
+                "marigold_hedges_denied",
+                "Late requests that were not hedged, by pool and reason",
+            ),
             store_failures: counter("marigold_store_failures", "Failed calls to the store by kind"),
             odd_objects: counter(
                 "marigold_odd_objects",
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -21,6 +21,9 @@
     /// Number of file descriptors that the process may open
     #[bpaf(argument::<String>("COUNT"), parse(settings::parse_rate), fallback(None))]
     max_open_files: Option<f64>,
+    /// Hedged requests as a share of those that may be repeated; zero disables hedging
+    #[bpaf(argument::<String>("SHARE"), parse(settings::parse_share), fallback(None))]
+    hedge_ratio: Option<f64>,
     /// Settings file in TOML
     #[bpaf(positional("SETTINGS"))]
     settings: PathBuf,
@@ -38,6 +41,7 @@
             evacuation_ms: self.evacuation_ms.or(settings.evacuation_ms),
             memory_mb: self.memory_mb.unwrap_or(settings.memory_mb),
             max_open_files: self.max_open_files.unwrap_or(settings.max_open_files),
+            hedge_ratio: self.hedge_ratio.unwrap_or(settings.hedge_ratio),
             ..settings
         })
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,7 @@
 //! Handles a caller's request: checks it, runs it and returns the response.
 
+mod hedged;
+
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -171,6 +173,7 @@
     let body = read_body(parts, body, &adopted.routing.limits, timeout).await?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
+    shared.count_repeatable(route.repeat);
     let identity = poison::Identity {
         customer: customer.as_ref().map(|customer| customer.name.as_str()),
         method: parts.method.as_str(),
@@ -198,6 +201,7 @@
         is_probe: false,
         begun: None,
         tried: HashSet::new(),
+        race: None,
     })
 }
 
@@ -305,7 +309,7 @@
             return stream_response(head, first_events, stream, attempts, guard);
         }
         Ok(Err(failure)) => failure,
-        Err(_) if attempts.runs > 0 => {
+        Err(_) if attempts.total_runs() > 0 => {
             Failure::new(StatusCode::GATEWAY_TIMEOUT, "the target did not answer in time")
         }
         Err(_) => {
@@ -325,6 +329,14 @@
     fn is_empty_stream(&self) -> bool {
         matches!(self, Self::Stream { first_events: None, .. })
     }
+
+    /// Returns whether the answer decides the request, whatever another target would answer.
+    fn is_success(&self) -> bool {
+        match self {
+            Self::Full { status, .. } => !status.is_server_error(),
+            Self::Stream { first_events, .. } => first_events.is_some(),
+        }
+    }
 }
 
 async fn execute<D: Dialect, S: Store>(
@@ -335,6 +347,13 @@
     attempts.check_targets()?;
     attempts.check_limits()?;
     attempts.admit()?;
+    hedged::run(attempts).await
+}
+
+/// Runs the stages and sends the request, until it has an answer or may not be sent again.
+async fn run_attempts<D: Dialect, S: Store>(
+    attempts: &mut Attempts<D, S>,
+) -> Result<TargetResponse, Failure> {
     // The answer of a target that failed, for the caller if no other target answers.
     let mut failed_answer = None;
     // Whether a target has ended the stream without an event.
@@ -349,6 +368,7 @@
             Err(failure) => return failed_answer.ok_or(failure),
         };
         if !reply.is_reply_to(attempts.request()) {
+            attempts.on_first_failed();
             tracing::warn!(
                 request = attempts.request(),
                 target = reply.sent.target(),
@@ -370,6 +390,12 @@
         } else {
             read_full(attempts, reply).await
         };
+        let is_success = response.as_ref().is_ok_and(TargetResponse::is_success);
+        if is_success {
+            attempts.on_first_answered()
+        } else {
+            attempts.on_first_failed()
+        }
         match response {
             Ok(response) => {
                 if let TargetResponse::Stream { first_events: Some(_), stream, .. } = &response {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::crashes::Crashes;
 use crate::dialect::Dialect;
 use crate::evacuations::Evacuations;
+use crate::hedging::Hedging;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
 use crate::members::Members;
@@ -80,6 +81,7 @@
     pub(crate) target_changes: Mutex<RecentChanges<Target>>,
     pub(crate) evacuations: Evacuations,
     pub(crate) limits: Limits,
+    pub(crate) hedging: Hedging,
     pub(crate) crashes: Crashes,
     pub(crate) poison: Poison,
     pub(crate) members: Members,
@@ -144,6 +146,7 @@
             target_changes: Mutex::default(),
             evacuations: Evacuations::default(),
             limits: Limits::default(),
+            hedging: Hedging::default(),
             crashes: Crashes::default(),
             poison: Poison::default(),
             members,
@@ -219,6 +222,7 @@
                 *self.newer_config_since.lock() = None;
                 self.metrics.config_version.record(routing.version, &[]);
                 self.durations.retain(&routing);
+                self.hedging.retain(&routing);
                 self.record_moved_routes(&routing);
                 self.adopted
                     .store(Some(Arc::new(AdoptedConfig { text: text.to_owned(), routing })));
@@ -470,6 +474,15 @@
         budgets.entry(pool.to_owned()).or_default().on_request(now, &limit);
     }
 
+    /// Counts a request in the budget of hedged requests if it may be repeated.
+    pub(crate) fn count_repeatable(&self, repeat: Repeat) {
+        let settings = self.settings();
+        if settings.hedge_ratio > 0.0 && repeat != Repeat::Never {
+            let window = Duration::from_secs_f64(settings.retry_window_s);
+            self.hedging.on_request(boottime::now(), settings.hedge_ratio, window);
+        }
+    }
+
     /// Withdraws one retry from a pool's budget; returns false when it is exhausted.
     pub(crate) fn withdraw_retry(&self, pool: &str) -> bool {
         let now = boottime::now();
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -26,3 +26,15 @@
     let rate = text.parse().ok().filter(|rate: &f64| rate.is_finite() && *rate > 0.0);
     rate.map(Some).ok_or_else(|| format!("`{text}` is no positive number"))
 }
+
+/// Parses an option that overrides a share in the settings, zero or more; it is `None` if the text is empty.
+///
+/// # Errors
+/// When the text is no such number.
+pub fn parse_share(text: String) -> Result<Option<f64>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let share = text.parse().ok().filter(|share: &f64| share.is_finite() && *share >= 0.0);
+    share.map(Some).ok_or_else(|| format!("`{text}` is neither zero nor a positive number"))
+}
