--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -267,7 +267,7 @@
         self.state.is_leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Delays each plain response and the first event of each stream from now on.
+    /// Delays each plain response, and the first event of each stream after the head, from now on.
     pub fn set_extra_delay(&self, delay: Duration) {
         *self.state.extra_delay.lock() = delay;
     }
@@ -291,6 +291,11 @@
         completed
     }
 
+    /// Returns the completed pieces whose results were freed.
+    pub fn freed_pieces(&self) -> Vec<CompletedPiece> {
+        self.state.freed.lock().values().cloned().collect()
+    }
+
     /// Returns the number of pieces in each stage call.
     pub fn stage_call_sizes(&self) -> Vec<usize> {
         self.state.stage_call_sizes.lock().clone()
@@ -535,18 +540,12 @@
             self.state.crash.notify_one();
             return std::future::pending().await;
         }
-        let extra_delay = *self.state.extra_delay.lock();
-        if !extra_delay.is_zero() {
-            let mut buf = [0; 1];
-            tokio::select! {
-                // A caller cancels its request by closing the connection.
-                _ = self.stream.read(&mut buf) => return Ok(()),
-                () = time::sleep(extra_delay) => {}
-            }
-        }
         if run.request_line.contains("/stream/") {
             return self.stream_events(&run, &headers, fault).await;
         }
+        if self.is_cancelled_in_extra_delay().await {
+            return Ok(());
+        }
         time::sleep(self.options.response_delay).await;
         let body = format!("{} {}", run.request_line, run.request);
         match fault {
@@ -561,6 +560,19 @@
         }
     }
 
+    /// Waits for the extra delay; returns true if the caller closes the connection meanwhile, which cancels its request.
+    async fn is_cancelled_in_extra_delay(&mut self) -> bool {
+        let extra_delay = *self.state.extra_delay.lock();
+        if extra_delay.is_zero() {
+            return false;
+        }
+        let mut buf = [0; 1];
+        tokio::select! {
+            _ = self.stream.read(&mut buf) => true,
+            () = time::sleep(extra_delay) => false,
+        }
+    }
+
     /// Sends `start`, then `part` again and again until the caller closes the connection.
     async fn send_without_end(&mut self, start: &[u8], part: &[u8]) -> std::io::Result<()> {
         self.stream.write_all(start).await?;
@@ -605,6 +617,9 @@
         if fault == Some(Fault::EmptyContinuation) && after > 0 {
             return self.stream.write_all(b"0\r\n\r\n").await;
         }
+        if self.is_cancelled_in_extra_delay().await {
+            return Ok(());
+        }
         for id in after + 1..=self.options.events {
             let mut buf = [0; 1];
             tokio::select! {
