--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,8 @@
     pub(crate) stage_pieces: Counter<u64>,
     pub(crate) stage_connections: Counter<u64>,
     pub(crate) retries: Counter<u64>,
+    pub(crate) hedges: Counter<u64>,
+    pub(crate) hedges_denied: Counter<u64>,
     pub(crate) store_failures: Counter<u64>,
     pub(crate) odd_objects: Counter<u64>,
     pub(crate) store_answer_age: Gauge<f64>,
@@ -59,6 +61,14 @@
                 "Calls with pieces and calls that free results, by purpose and use of a connection",
             ),
             retries: counter("marigold_retries", "Requests sent to another target, by reason"),
+            hedges: counter(
+                "marigold_hedges",
+                "Hedged requests by pool and event: sent, won, cancelled (either attempt) or failed",
+            ),
+            hedges_denied: counter(
+                "marigold_hedges_denied",
+                "Late requests that were not hedged, by pool and reason",
+            ),
             store_failures: counter("marigold_store_failures", "Failed calls to the store by kind"),
             odd_objects: counter(
                 "marigold_odd_objects",
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -178,6 +178,8 @@
     limit: Mutex<Option<String>>,
     /// Whether each reply says that the replica leaves.
     is_leaving: AtomicBool,
+    /// Delay before each plain response and the first event of each stream, in addition to that of the options.
+    extra_delay: Mutex<Duration>,
     /// Value of `Retry-After` with which the replica refuses all requests.
     pause: Mutex<Option<String>>,
     call_fault: Mutex<Option<CallFault>>,
@@ -308,6 +310,11 @@
         self.state.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Delays each plain response, and the first event of each stream after the head, from now on.
+    pub fn set_extra_delay(&self, delay: Duration) {
+        *self.state.extra_delay.lock() = delay;
+    }
+
     /// Refuses all requests with this value of `Retry-After` from now on; `None` ends it.
     pub fn set_pause(&self, pause: Option<&str>) {
         *self.state.pause.lock() = pause.map(str::to_owned);
@@ -327,6 +334,11 @@
         completed
     }
 
+    /// Returns the completed pieces whose results were freed.
+    pub fn freed_pieces(&self) -> Vec<CompletedPiece> {
+        self.state.freed.lock().values().cloned().collect()
+    }
+
     /// Returns the number of pieces in each stage call.
     pub fn stage_call_sizes(&self) -> Vec<usize> {
         self.state.stage_call_sizes.lock().clone()
@@ -622,6 +634,9 @@
         if run.request_line.contains("/stream/") {
             return self.stream_events(&run, &headers, fault).await;
         }
+        if self.is_cancelled_in_extra_delay().await {
+            return Ok(());
+        }
         time::sleep(self.options.response_delay).await;
         let body = format!("{} {}", run.request_line, run.request);
         match fault {
@@ -636,6 +651,19 @@
         }
     }
 
+    /// Waits for the extra delay; returns true if the caller closes the connection meanwhile, which cancels its request.
+    async fn is_cancelled_in_extra_delay(&mut self) -> bool {
+        let extra_delay = *self.state.extra_delay.lock();
+        if extra_delay.is_zero() {
+            return false;
+        }
+        let mut buf = [0; 1];
+        tokio::select! {
+            _ = self.stream.read(&mut buf) => true,
+            () = time::sleep(extra_delay) => false,
+        }
+    }
+
     /// Sends `start`, then `part` again and again until the caller closes the connection.
     async fn send_without_end(&mut self, start: &[u8], part: &[u8]) -> std::io::Result<()> {
         self.stream.write_all(start).await?;
@@ -680,6 +708,9 @@
         if fault == Some(Fault::EmptyContinuation) && after > 0 {
             return self.stream.write_all(b"0\r\n\r\n").await;
         }
+        if self.is_cancelled_in_extra_delay().await {
+            return Ok(());
+        }
         for id in after + 1..=self.options.events {
             let mut buf = [0; 1];
             tokio::select! {
