--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod ledger;
 pub mod licence;
+pub mod memory_budget;
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
