Gateway: bodies, gathered responses and connections stay within the memory and descriptors of the VM

A body was collected in frames and copied whole, without a bound for all of them, and connections were not counted. Bodies are now read into one buffer that is charged to the budget until its last copy is gone; a body that is given up is answered with 503 and the connection closed. At the bound on connections the longest idle one is closed, then that of the slowest unfinished body.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::http_server::Server;
 use crate::members::Members;
@@ -57,14 +58,29 @@
         let links =
             LinkServer::bind(link_address, security, Arc::new(PeerHandler(shared.clone()))).await?;
         let readiness = ReadinessPort(shared.clone());
-        let readiness =
-            Server::bind(&settings.ready_address, Arc::new(readiness), close.subscribe()).await?;
+        let readiness = Server::bind(
+            &settings.ready_address,
+            Arc::new(readiness),
+            close.subscribe(),
+            Connections::default(),
+        )
+        .await?;
         let metrics = MetricsPort(shared.clone());
-        let metrics =
-            Server::bind(&settings.metrics_address, Arc::new(metrics), close.subscribe()).await?;
+        let metrics = Server::bind(
+            &settings.metrics_address,
+            Arc::new(metrics),
+            close.subscribe(),
+            Connections::default(),
+        )
+        .await?;
         let callers = CallersPort(shared.clone());
-        let callers =
-            Server::bind(&settings.callers_address, Arc::new(callers), close.subscribe()).await?;
+        let callers = Server::bind(
+            &settings.callers_address,
+            Arc::new(callers),
+            close.subscribe(),
+            shared.connections.clone(),
+        )
+        .await?;
         discovery::spawn(&shared);
         tokio::spawn(peers::poll_forever(shared.clone()));
         tokio::spawn(stage_runner::release_forever(shared.clone()));
--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -20,14 +20,26 @@
 use crate::response::{Aborted, Body};
 
 /// Measures the time since the first byte of a request head on one connection.
-#[derive(Default)]
 pub(crate) struct HeadTimer {
     /// Arrival of the first byte of a head that is incomplete.
     started: Mutex<Option<Instant>>,
     is_busy: AtomicBool,
+    /// When the connection was opened, or its last response ended.
+    idle_since: Mutex<Instant>,
     head_started: Notify,
 }
 
+impl Default for HeadTimer {
+    fn default() -> Self {
+        Self {
+            started: Mutex::default(),
+            is_busy: AtomicBool::new(false),
+            idle_since: Mutex::new(Instant::now()),
+            head_started: Notify::new(),
+        }
+    }
+}
+
 impl HeadTimer {
     fn on_bytes(&self) {
         let mut started = self.started.lock();
@@ -37,6 +49,11 @@
         }
     }
 
+    /// Returns since when the connection has had no request in progress; `None` if it has one.
+    pub(crate) fn idle_since(&self) -> Option<Instant> {
+        (!self.is_busy.load(Ordering::Relaxed)).then(|| *self.idle_since.lock())
+    }
+
     /// Stops the timer at a complete head. The connection counts as busy until the guard is dropped, and bytes that
     /// arrive meanwhile don't start the timer.
     pub(crate) fn on_request(self: &Arc<Self>) -> BusyGuard {
@@ -65,6 +82,7 @@
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
+        *self.0.idle_since.lock() = Instant::now();
         self.0.is_busy.store(false, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -17,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::connections::{ConnectionGuard, Connections};
 use crate::head_timeout::{BusyBody, HeadTimer, TimedStream};
 use crate::response::Body;
 use crate::upstream;
@@ -47,6 +47,20 @@
     /// Returns the limits of new connections.
     fn limits(&self) -> ConnectionLimits;
 
+    /// Returns the maximum number of connections, if it is limited.
+    fn max_connections(&self) -> Option<usize> {
+        None
+    }
+
+    /// Makes room when there are as many connections as allowed and each has a request in progress; returns whether one of them
+    /// will end.
+    fn end_a_request(&self) -> bool {
+        false
+    }
+
+    /// Called when a connection is closed for another one, or not accepted.
+    fn on_connection_closed(&self, _reason: &'static str) {}
+
     /// Handles one request. The future is dropped when the caller closes the connection.
     fn call(&self, req: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
 }
@@ -55,7 +69,7 @@
 pub(crate) struct Server {
     addr: SocketAddr,
     task: tokio::task::JoinHandle<()>,
-    connections: Arc<AtomicUsize>,
+    connections: Connections,
 }
 
 impl Server {
@@ -70,11 +84,11 @@
         addr: &str,
         service: Arc<T>,
         stop: watch::Receiver<bool>,
+        connections: Connections,
     ) -> anyhow::Result<Server> {
         let listener =
             TcpListener::bind(addr).await.with_context(|| format!("listening on {addr}"))?;
         let addr = listener.local_addr().context("reading the listener's address")?;
-        let connections = Arc::new(AtomicUsize::new(0));
         let task = tokio::spawn(accept_all(listener, service, stop, connections.clone()));
         Ok(Server { addr, task, connections })
     }
@@ -86,23 +100,7 @@
 
     /// Returns whether the port is closed and all connections have ended.
     pub(crate) fn has_ended(&self) -> bool {
-        self.task.is_finished() && self.connections.load(Ordering::Relaxed) == 0
-    }
-}
-
-/// Counts a connection as open until dropped.
-struct ConnectionGuard(Arc<AtomicUsize>);
-
-impl ConnectionGuard {
-    fn new(connections: &Arc<AtomicUsize>) -> Self {
-        connections.fetch_add(1, Ordering::Relaxed);
-        Self(connections.clone())
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.task.is_finished() && self.connections.len() == 0
     }
 }
 
@@ -116,15 +114,16 @@
     listener: TcpListener,
     service: Arc<T>,
     stop: watch::Receiver<bool>,
-    connections: Arc<AtomicUsize>,
+    connections: Connections,
 ) {
     let spawn = |stream: TcpStream| {
-        let (guard, service, stop) =
-            (ConnectionGuard::new(&connections), service.clone(), stop.clone());
-        tokio::spawn(async move {
-            serve(stream, service, stop).await;
-            drop(guard);
-        });
+        if !make_room(&*service, &connections) {
+            return;
+        }
+        let timer = Arc::new(HeadTimer::default());
+        let guard = connections.open(&timer);
+        let (service, stop) = (service.clone(), stop.clone());
+        tokio::spawn(serve(stream, service, stop, timer, guard));
     };
     let mut stopped = stop.clone();
     tokio::select! {
@@ -141,6 +140,22 @@
     }
 }
 
+/// Closes an idle connection if there are as many as allowed; returns whether another one may be opened.
+fn make_room<T: Service>(service: &T, connections: &Connections) -> bool {
+    if service.max_connections().is_none_or(|max| connections.len() < max) {
+        return true;
+    }
+    if connections.close_idle() {
+        service.on_connection_closed("idle_connection");
+        return true;
+    }
+    if service.end_a_request() {
+        return true;
+    }
+    service.on_connection_closed("new_connection");
+    false
+}
+
 async fn accept_forever(listener: &TcpListener, spawn: &impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
@@ -193,13 +208,18 @@
     }
 }
 
-async fn serve<T: Service>(stream: TcpStream, service: Arc<T>, mut stop: watch::Receiver<bool>) {
+async fn serve<T: Service>(
+    stream: TcpStream,
+    service: Arc<T>,
+    mut stop: watch::Receiver<bool>,
+    timer: Arc<HeadTimer>,
+    guard: ConnectionGuard,
+) {
     if let Err(err) = upstream::configure_socket(&stream) {
         tracing::debug!(%err, "connection failed before its first request");
         return;
     }
     let limits = service.limits();
-    let timer = Arc::new(HeadTimer::default());
     let request_timer = timer.clone();
     let (has_request, first_request) = watch::channel(false);
     let handler = service_fn(move |req| {
@@ -232,6 +252,10 @@
                 }
             }
         }
+        () = guard.evicted() => {
+            tracing::debug!("connection closed for another one");
+            return;
+        }
         () = timer.expired(limits.head_timeout) => {
             tracing::debug!(head_time = ?limits.head_timeout, "connection closed: timeout while receiving a request head");
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod announcements;
 mod attempts;
 mod batcher;
+mod connections;
 mod crashes;
 pub mod dialect;
 mod discovery;
@@ -16,6 +17,7 @@
 mod learned_durations;
 mod limits;
 mod members;
+mod memory;
 mod metrics;
 mod odd_objects;
 pub mod options;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,10 @@
     pub(crate) target_crashes: Counter<u64>,
     pub(crate) quarantines: Gauge<u64>,
     pub(crate) quarantine_refusals: Counter<u64>,
+    pub(crate) memory_refusals: Counter<u64>,
+    pub(crate) memory_held: Gauge<u64>,
+    pub(crate) memory_budget: Gauge<u64>,
+    pub(crate) caller_connections: Gauge<u64>,
 }
 
 impl Metrics {
@@ -126,6 +130,24 @@
                 "marigold_quarantine_refusals",
                 "Requests refused because such requests crash targets, by pool",
             ),
+            memory_refusals: counter(
+                "marigold_memory_refusals",
+                "Requests and connections refused or closed to stay within memory and descriptors, by reason",
+            ),
+            memory_held: meter
+                .u64_gauge("marigold_memory_held_bytes")
+                .with_unit("By")
+                .with_description("Memory held for callers and targets")
+                .build(),
+            memory_budget: meter
+                .u64_gauge("marigold_memory_budget_bytes")
+                .with_unit("By")
+                .with_description("Memory that may be held for callers and targets")
+                .build(),
+            caller_connections: meter
+                .u64_gauge("marigold_caller_connections")
+                .with_description("Connections of callers")
+                .build(),
             store_era: meter
                 .u64_gauge("marigold_store_era")
                 .with_description("Number of times that the store was restored from an older copy")
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,6 +4,7 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use marigold_core::memory_budget;
 use marigold_core::routes::Limits;
 use marigold_objects::Store;
 
@@ -29,6 +30,18 @@
         adopted.as_ref().map_or_else(Limits::default, |adopted| adopted.routing.limits).into()
     }
 
+    fn max_connections(&self) -> Option<usize> {
+        Some(memory_budget::max_connections(self.0.settings().max_open_files))
+    }
+
+    fn end_a_request(&self) -> bool {
+        self.0.memory.shed_one()
+    }
+
+    fn on_connection_closed(&self, reason: &'static str) {
+        self.0.memory.record_refusal(reason);
+    }
+
     async fn call(&self, req: Request<Incoming>) -> Response<Body> {
         request::serve(&self.0, req).await
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use marigold_core::ids::Uptime;
+use marigold_core::memory_budget::{self, Kind};
 use marigold_core::poison;
 use marigold_core::routes::{self, Customer, Limits, Refusal, Repeat, Route};
 use marigold_objects::Store;
@@ -20,6 +21,7 @@
 
 use crate::attempts::{self, Attempts, Reply};
 use crate::dialect::{CallerHead, Dialect};
+use crate::memory::{Denied, Hold, Memory};
 use crate::relay::{self, EventStream, StreamItem};
 use crate::response::{self, Body, Failure};
 use crate::shared::{AdoptedConfig, Shared};
@@ -29,6 +31,9 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-After of a request whose route or customer cannot be used until the operator changes the configuration.
 const UNUSABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry-After of a request whose body was given up for lack of memory. A crowd keeps its memory until its bodies are given up or
+/// their time is over; callers honour a third of their remaining time.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum size of a target's response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Size up to which a response is gathered in any case, in bytes; the rest draws on [`MAX_GATHERED_BYTES`].
@@ -168,7 +173,9 @@
     guard.route.clone_from(&route.name);
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = guard.arrived + timeout;
-    let body = read_body(parts, body, &adopted.routing.limits, timeout).await?;
+    let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
+    let body =
+        read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory).await?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
     let identity = poison::Identity {
@@ -258,33 +265,104 @@
     Ok((route.clone(), customer))
 }
 
+/// Reads a body into one buffer that is charged to the memory budget. It is given up when others come first.
 async fn read_body(
     parts: &request::Parts,
     body: Incoming,
     limits: &Limits,
     timeout: Duration,
+    hold: Hold,
+    memory: &Memory,
 ) -> Result<Bytes, Failure> {
-    let too_large = || {
-        Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large").closing_connection()
-    };
-    let declared_bytes = parts
+    let length = parts
         .headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if declared_bytes.is_some_and(|length| length > limits.max_body_bytes) {
-        return Err(too_large());
+    if length.is_some_and(|length| length > limits.max_body_bytes) {
+        return Err(body_failure(BodyError::TooLarge, memory));
+    }
+    let read = time::timeout(timeout, collect_body(body, length, limits.max_body_bytes, hold));
+    let read = read.await.unwrap_or(Err(BodyError::Late));
+    read.map_err(|err| body_failure(err, memory))
+}
+
+/// Reason why a body was not read to its end.
+enum BodyError {
+    TooLarge,
+    Late,
+    GivenUp,
+    Broken(String),
+}
+
+impl From<Denied> for BodyError {
+    fn from(_: Denied) -> Self {
+        Self::GivenUp
     }
-    let collected = time::timeout(timeout, Limited::new(body, limits.max_body_bytes).collect());
-    match collected.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(err)) => {
-            let reason = format!("the body cannot be read: {}", upstream::error_chain(&*err));
-            Err(Failure::new(StatusCode::BAD_REQUEST, reason).closing_connection())
+}
+
+fn body_failure(err: BodyError, memory: &Memory) -> Failure {
+    let failure = match err {
+        BodyError::TooLarge => {
+            memory.record_refusal("body_too_large");
+            Failure::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+        }
+        BodyError::Late => {
+            memory.record_refusal("body_late");
+            Failure::new(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time")
         }
-        Err(_) => Err(Failure::new(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time")
-            .closing_connection()),
+        BodyError::GivenUp => {
+            memory.record_refusal("body_given_up");
+            Failure::refused(Denied.to_string(), MEMORY_RETRY_AFTER)
+        }
+        BodyError::Broken(reason) => {
+            Failure::new(StatusCode::BAD_REQUEST, format!("the body cannot be read: {reason}"))
+        }
+    };
+    failure.closing_connection()
+}
+
+async fn collect_body(
+    mut body: Incoming,
+    length: Option<usize>,
+    limit: usize,
+    mut hold: Hold,
+) -> Result<Bytes, BodyError> {
+    let mut buf = Vec::new();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = hold.shed() => return Err(BodyError::GivenUp),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { break };
+        let frame = frame.map_err(|err| BodyError::Broken(upstream::error_chain(&err)))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let size = buf.len() + data.len();
+        if size > limit {
+            return Err(BodyError::TooLarge);
+        }
+        reserve(&mut buf, size, length, limit, &mut hold)?;
+        buf.extend_from_slice(&data);
+        hold.record_arrival(data.len());
     }
+    hold.complete()?;
+    Ok(hold.attach(buf))
+}
+
+/// Makes room for `size` bytes in a buffer, and charges its capacity.
+fn reserve(
+    buf: &mut Vec<u8>,
+    size: usize,
+    length: Option<usize>,
+    limit: usize,
+    hold: &mut Hold,
+) -> Result<(), Denied> {
+    if size > buf.capacity() {
+        let capacity = memory_budget::buffer_capacity(size, length, limit);
+        hold.grow(capacity)?;
+        buf.reserve_exact(capacity - buf.len());
+    }
+    Ok(())
 }
 
 /// Runs a request and returns the response, or a failure when the deadline passes first.
@@ -416,8 +494,10 @@
 async fn gather<D: Dialect, S: Store>(
     shared: &Shared<D, S>,
     mut body: Incoming,
+    length: Option<usize>,
 ) -> Result<Bytes, String> {
-    let mut gathered = BytesMut::new();
+    let mut gathered = Vec::new();
+    let mut hold = shared.memory.open(Kind::Response);
     let mut memory: Option<SemaphorePermit<'_>> = None;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| upstream::error_chain(&err))?;
@@ -435,9 +515,13 @@
                 None => memory = Some(more),
             }
         }
+        if let Err(err) = reserve(&mut gathered, size, length, MAX_RESPONSE_BYTES, &mut hold) {
+            shared.memory.record_refusal("response_given_up");
+            return Err(err.to_string());
+        }
         gathered.extend_from_slice(&data);
     }
-    Ok(gathered.freeze())
+    Ok(hold.attach(gathered))
 }
 
 async fn read_full<D: Dialect, S: Store>(
@@ -446,7 +530,9 @@
 ) -> Result<TargetResponse, String> {
     let Reply { sent, response, .. } = reply;
     let (parts, body) = response.into_parts();
-    let body = match gather(&attempts.shared, body).await {
+    let length = parts.headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = match gather(&attempts.shared, body, length).await {
         Ok(body) => body,
         Err(err) => {
             sent.on_failure();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,12 +22,14 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::batcher::Batcher;
+use crate::connections::Connections;
 use crate::crashes::Crashes;
 use crate::dialect::Dialect;
 use crate::evacuations::Evacuations;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
 use crate::members::Members;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::odd_objects::OddObjects;
 use crate::origins::Origins;
@@ -83,6 +85,9 @@
     pub(crate) crashes: Crashes,
     pub(crate) poison: Poison,
     pub(crate) members: Members,
+    pub(crate) memory: Memory,
+    /// Connections of callers.
+    pub(crate) connections: Connections,
     pub(crate) origins: Origins,
     pub(crate) versions: Versions,
     pub(crate) batcher: Batcher,
@@ -133,6 +138,7 @@
         members: Members,
         metrics: Metrics,
     ) -> Self {
+        let memory = Memory::new(settings.memory_mb, metrics.memory_refusals.clone());
         Self {
             settings: ArcSwap::from_pointee(settings),
             incarnation: marigold_process::uptime::wall_clock_ms(),
@@ -147,6 +153,8 @@
             crashes: Crashes::default(),
             poison: Poison::default(),
             members,
+            memory,
+            connections: Connections::default(),
             origins: Origins::default(),
             versions: Versions::default(),
             batcher: Batcher::default(),
@@ -184,6 +192,7 @@
 
     /// Replaces the settings in force.
     pub(crate) fn set_settings(&self, settings: GatewaySettings) {
+        self.memory.set_megabytes(settings.memory_mb);
         self.settings.store(Arc::new(settings));
     }
 
@@ -486,6 +495,10 @@
             let age = now.saturating_sub(*at).as_secs_f64();
             self.metrics.store_answer_age.record(age, &[KeyValue::new("kind", *kind)]);
         }
+        let (held, budget) = self.memory.usage();
+        self.metrics.memory_held.record(held as u64, &[]);
+        self.metrics.memory_budget.record(budget as u64, &[]);
+        self.metrics.caller_connections.record(self.connections.len() as u64, &[]);
         self.metrics.stream_origins.record(self.origins.len() as u64, &[]);
         // Versions that no target has any more are reported as zero.
         let mut versions = self.reported_versions.lock();
