Gateway: events that wait for a slow caller are charged to the memory budget

A queue of 16 chunks of up to 256 KB each took 4 MB for a caller that does not read, outside any bound. Chunks of over 2 KB are charged until they are sent; without memory for them the stream breaks off, and its target is free. Tests of memory, endless, gateway, truncated and words pass.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use marigold_core::events::Splitter;
 use marigold_core::ids::Uptime;
+use marigold_core::memory_budget::Kind;
 use marigold_core::targets::Target;
 use marigold_objects::Store;
 use marigold_process::boottime;
@@ -17,11 +18,15 @@
 use crate::attempts::{Attempts, SentRequest};
 use crate::crashes;
 use crate::dialect::Dialect;
+use crate::memory::Memory;
 use crate::request::RequestGuard;
 use crate::response::{Aborted, Chunk};
 
 /// Maximum number of chunks that are buffered for a slow caller.
 pub(crate) const MAX_QUEUED_CHUNKS: usize = 16;
+/// Size up to which events in a queue are not charged to the memory budget, in bytes. A queue of these takes 32 KB, and events of
+/// models are below one kilobyte.
+const MAX_UNCHARGED_BYTES: usize = 2 * 1024;
 /// Time without data after which a resumable stream is resumed at another target. It is several times the gap between
 /// events that counts as late: by then the stream is late anyway, and resuming only ensures its completion.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -156,6 +161,16 @@
     guard.finish(StatusCode::OK, outcome, Some(stream.target()));
 }
 
+/// Charges events to the memory budget until they are sent to the caller; `None` if others come first.
+fn hold_events(memory: &Memory, events: Bytes) -> Option<Bytes> {
+    if events.len() <= MAX_UNCHARGED_BYTES {
+        return Some(events);
+    }
+    let mut hold = memory.open(Kind::Response);
+    hold.grow(events.len()).ok()?;
+    Some(hold.attach(events))
+}
+
 async fn forward_events<D: Dialect, S: Store>(
     stream: &mut EventStream,
     attempts: &mut Attempts<D, S>,
@@ -167,6 +182,10 @@
         let reason = match stream.next().await {
             StreamItem::Events(events) => {
                 is_end_claimed = false;
+                let Some(events) = hold_events(&attempts.shared.memory, events) else {
+                    attempts.shared.memory.record_refusal("stream_given_up");
+                    return "memory";
+                };
                 if caller.send(Ok(events)).await.is_err() {
                     return "caller_left";
                 }
