--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ledger;
 pub mod licence;
 pub mod load_reports;
+pub mod memory_budget;
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod announcements;
 mod attempts;
 mod batcher;
+mod connections;
 mod crashes;
 pub mod dialect;
 mod discovery;
@@ -18,6 +19,7 @@
 mod limits;
 mod load_reports;
 mod members;
+mod memory;
 mod metrics;
 mod odd_objects;
 pub mod options;
