--- a/crates/gateway/src/attempts/hedge.rs
+++ b/crates/gateway/src/attempts/hedge.rs
@@ -170,6 +170,7 @@
             suspects: self.suspects.clone(),
             arrived: self.arrived,
             deadline: self.deadline,
+            is_retry: self.is_retry,
             runs: 0,
             lost_targets: Vec::new(),
             is_probe: false,
