Cold targets without requests keep no limit in use

Cause: each entry of a target counted as a use of its limit, so that limits of warm targets were never removed, and gateways polled the owners of cold targets to which they send nothing.

--- a/crates/gateway/src/limits/cold.rs
+++ b/crates/gateway/src/limits/cold.rs
@@ -12,7 +12,6 @@
     /// Records when the target stops being cold, and logs a change.
     fn set_cold(&mut self, target: &Target, now: Uptime) {
         let was_cold = !self.cold_until.is_zero();
-        self.last_used = now;
         if now >= target.cold_until {
             self.cold_until = self.cold_until.min(now);
             return self.log_cold_end(&target.id, now);
@@ -33,6 +32,8 @@
     pub(super) fn log_cold_end(&mut self, id: &str, now: Uptime) {
         if !self.cold_until.is_zero() && now >= self.cold_until {
             self.cold_until = Uptime::ZERO;
+            // Kept for a while, so that the metrics show that no target is cold.
+            self.last_used = now;
             tracing::info!(target = id, pool = self.pool, "target is no longer cold");
         }
     }
@@ -49,7 +50,8 @@
                 limit.cold_per_s = rates.get(&target.pool).copied();
                 limit.set_cold(target, now);
             } else if now < target.cold_until && targets.len() < MAX_TARGETS {
-                let mut limit = TargetLimit::new(target.pool.clone(), now);
+                // Not used yet: gateways poll the owners of limits that are in use.
+                let mut limit = TargetLimit::new(target.pool.clone(), Uptime::ZERO);
                 limit.cold_per_s = rates.get(&target.pool).copied();
                 limit.set_cold(target, now);
                 targets.insert(start, limit);
