--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -436,6 +436,8 @@
         failed = count_failed(PieceError::Failed),
         waited_ms = longest_wait(&tickets, started).as_millis() as u64,
         took_ms = duration.as_millis() as u64,
+        reported_waiting = reported.map(|load| load.waiting),
+        reported_factor = reported.and_then(|load| load.duration_factor),
         outcome,
         "stage call ended"
     );
