--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -24,7 +25,6 @@
 use marigold_schema::messages::PieceFailure;
 use opentelemetry::KeyValue;
 
-use self::hedge::LoadGuard;
 use crate::announcements;
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
 use crate::limits;
@@ -49,7 +49,7 @@
 
 /// A request that was sent to a target; dropping it closes the connection, which cancels the request.
 pub(crate) struct SentRequest {
-    tracked: Arc<TrackedTarget>,
+    call: CallGuard,
     _connection: Connection,
     sent_at: Uptime,
     load_at_send: u32,
@@ -58,17 +58,17 @@
 impl SentRequest {
     /// Returns the id of the target.
     pub(crate) fn target(&self) -> &str {
-        &self.tracked.target.id
+        &self.call.0.target.id
     }
 
     /// Returns the target with its load.
     pub(crate) fn tracked(&self) -> &Arc<TrackedTarget> {
-        &self.tracked
+        &self.call.0
     }
 
     /// Returns the start of the target.
     pub(crate) fn target_start(&self) -> &Target {
-        &self.tracked.target
+        &self.call.0.target
     }
 
     /// Returns the time at which the request was sent.
@@ -80,18 +80,29 @@
     pub(crate) fn on_success(&self) {
         let now = boottime::now();
         let duration = now.saturating_sub(self.sent_at);
-        self.tracked.load.on_success(duration, self.load_at_send, self.tracked.target.slots, now);
+        let tracked = self.tracked();
+        tracked.load.on_success(duration, self.load_at_send, tracked.target.slots, now);
     }
 
     /// Records a failure of the target.
     pub(crate) fn on_failure(&self) {
-        self.tracked.load.on_failure(boottime::now());
+        self.tracked().load.on_failure(boottime::now());
     }
 }
 
-impl Drop for SentRequest {
+/// A call that counts in the load of its target until this is dropped, also when the request is given up before its reply.
+struct CallGuard(Arc<TrackedTarget>);
+
+impl CallGuard {
+    fn new(tracked: &Arc<TrackedTarget>) -> Self {
+        tracked.load.on_send();
+        Self(tracked.clone())
+    }
+}
+
+impl Drop for CallGuard {
     fn drop(&mut self) {
-        self.tracked.load.on_end();
+        self.0.load.on_end();
     }
 }
 
@@ -356,24 +367,15 @@
             }
             let req = self.build_request(&tracked, &results, resume_after);
             let load_at_send = tracked.load.snapshot(now).total;
-            tracked.load.on_send();
-            let sent = |connection| SentRequest {
-                tracked: tracked.clone(),
-                _connection: connection,
-                sent_at: now,
-                load_at_send,
-            };
+            let call = CallGuard::new(&tracked);
             self.runs += 1;
             self.on_first_sent(&tracked, now, &results);
-            // A hedge may win before this target replies, which ends the call.
-            let load = self.race.as_ref().map(|_| LoadGuard::new(&tracked));
             let response = connection.send(req).await;
-            load.into_iter().for_each(LoadGuard::release);
+            let sent = SentRequest { call, _connection: connection, sent_at: now, load_at_send };
             let response = match response {
                 Ok(response) => response,
                 Err(err) => {
                     self.on_first_failed();
-                    let sent = sent(connection);
                     sent.on_failure();
                     self.on_break(&sent, false);
                     tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
@@ -383,7 +385,6 @@
                     return Err(Failure::new(StatusCode::BAD_GATEWAY, "the target gave no reply"));
                 }
             };
-            let sent = sent(connection);
             let head = D::read_reply(response.status(), response.headers());
             let is_own_reply = head.is_reply_to(self.request());
             let limit = match head.limit {
@@ -434,8 +435,7 @@
     }
 
     fn refused(&self, reason: &str) -> Failure {
-        let time_left = self.deadline.saturating_sub(boottime::now());
-        Failure::refused(reason, time_left.mul_f64(rand::random_range(RETRY_AFTER_SHARE)))
+        Failure::refused(reason, retry_after(self.deadline.saturating_sub(boottime::now())))
     }
 
     fn build_request(
@@ -469,6 +469,12 @@
     }
 }
 
+/// Returns when a caller that waits for `time_left` may come back: late in the time for which callers wait for a retry, and spread
+/// over a part of it.
+pub(crate) fn retry_after(time_left: Duration) -> Duration {
+    time_left.mul_f64(rand::random_range(RETRY_AFTER_SHARE))
+}
+
 /// Headers that apply to a single connection.
 const HOP_BY_HOP_HEADERS: [header::HeaderName; 8] = [
     header::CONNECTION,
--- a/crates/gateway/src/attempts/hedge.rs
+++ b/crates/gateway/src/attempts/hedge.rs
@@ -19,7 +19,7 @@
 use tokio::time;
 
 use super::continuation::Begun;
-use super::{Attempts, Reply, SentRequest};
+use super::{Attempts, CallGuard, Reply, SentRequest};
 use crate::announcements;
 use crate::dialect::{Dialect, LimitStatement};
 use crate::limits;
@@ -349,17 +349,9 @@
         }
         let labels = [KeyValue::new("pool", self.pool.clone()), KeyValue::new("event", "sent")];
         self.shared.metrics.hedges.add(1, &labels);
-        tracked.load.on_send();
-        // Created before the request is sent, so that the load is corrected if the attempt is cancelled.
-        let load = LoadGuard::new(&tracked);
+        let call = CallGuard::new(&tracked);
         let response = connection.send(req).await;
-        load.release();
-        let sent = SentRequest {
-            tracked: tracked.clone(),
-            _connection: connection,
-            sent_at: now,
-            load_at_send,
-        };
+        let sent = SentRequest { call, _connection: connection, sent_at: now, load_at_send };
         let response = match response {
             Ok(response) => response,
             Err(err) => {
@@ -459,26 +451,3 @@
         !is_same
     }
 }
-
-/// Ends a call in the load of its target if the attempt is cancelled before it has a reply.
-pub(super) struct LoadGuard(Option<Arc<TrackedTarget>>);
-
-impl LoadGuard {
-    /// Creates the guard of a call that was counted.
-    pub(super) fn new(tracked: &Arc<TrackedTarget>) -> Self {
-        Self(Some(tracked.clone()))
-    }
-
-    /// Leaves the end of the call to its [`SentRequest`].
-    pub(super) fn release(mut self) {
-        self.0 = None;
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        if let Some(tracked) = &self.0 {
-            tracked.load.on_end();
-        }
-    }
-}
