--- a/crates/gateway/src/load_reports.rs
+++ b/crates/gateway/src/load_reports.rs
@@ -2,6 +2,8 @@
 //!
 //! Each gateway sends its own counts with its polls. Those that watch the store are polled by many, and answer with the sums.
 
+use std::time::Duration;
+
 use marigold_core::ids::Uptime;
 use marigold_core::load_reports::{self, InFlight, LoadReports};
 use marigold_schema::messages::TargetInFlight;
@@ -38,6 +40,12 @@
         *self.totals_at.lock() = now;
     }
 
+    /// Returns the time since the last sums arrived; `None` without recent ones.
+    pub(crate) fn age(&self, now: Uptime) -> Option<Duration> {
+        let totals_at = *self.totals_at.lock();
+        (!totals_at.is_zero()).then(|| now.saturating_sub(totals_at))
+    }
+
     /// Returns whether sums have arrived, but none for so long that they say nothing any more; true once.
     pub(crate) fn take_expired(&self, now: Uptime) -> bool {
         let mut totals_at = self.totals_at.lock();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     pub(crate) config_defects: Gauge<u64>,
     pub(crate) store_era: Gauge<u64>,
     pub(crate) evacuated_data_centres: Gauge<u64>,
+    pub(crate) caller_retries: Counter<u64>,
+    pub(crate) load_age: Gauge<f64>,
     pub(crate) target_versions: Gauge<u64>,
     pub(crate) stream_origins: Gauge<u64>,
     pub(crate) streams_not_continued: Counter<u64>,
@@ -103,6 +105,15 @@
                 "marigold_origins_stored_late",
                 "Streams whose first event was passed on before the store had their origin",
             ),
+            caller_retries: counter(
+                "marigold_caller_retries",
+                "Requests that have come back after a refusal, by route",
+            ),
+            load_age: meter
+                .f64_gauge("marigold_load_age_seconds")
+                .with_unit("s")
+                .with_description("Time since other gateways told what all have in flight")
+                .build(),
             evacuated_data_centres: meter
                 .u64_gauge("marigold_evacuated_data_centres")
                 .with_description("Data centres that are evacuated")
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -182,6 +182,10 @@
         shared.durations.observe_caller(&route.name, timeout, guard.arrived)
     });
     guard.is_retry = is_retry;
+    if is_retry {
+        let labels = [KeyValue::new("route", route.name.clone())];
+        shared.metrics.caller_retries.add(1, &labels);
+    }
     let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
     let body =
         read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory).await?;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -548,6 +548,9 @@
         self.metrics.memory_budget.record(budget as u64, &[]);
         self.metrics.caller_connections.record(self.connections.len() as u64, &[]);
         self.metrics.stream_origins.record(self.origins.len() as u64, &[]);
+        if let Some(age) = self.load.age(now) {
+            self.metrics.load_age.record(age.as_secs_f64(), &[]);
+        }
         // Versions that no target has any more are reported as zero.
         let mut versions = self.reported_versions.lock();
         versions.values_mut().for_each(|count| *count = 0);
