--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -8,7 +8,6 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -435,7 +434,8 @@
     }
 
     fn refused(&self, reason: &str) -> Failure {
-        Failure::refused(reason, retry_after(self.deadline.saturating_sub(boottime::now())))
+        let time_left = self.deadline.saturating_sub(boottime::now());
+        Failure::refused(reason, time_left.mul_f64(rand::random_range(RETRY_AFTER_SHARE)))
     }
 
     fn build_request(
@@ -469,12 +469,6 @@
     }
 }
 
-/// Returns when a caller that waits for `time_left` may come back: late in the time for which callers wait for a retry, and spread
-/// over a part of it.
-pub(crate) fn retry_after(time_left: Duration) -> Duration {
-    time_left.mul_f64(rand::random_range(RETRY_AFTER_SHARE))
-}
-
 /// Headers that apply to a single connection.
 const HOP_BY_HOP_HEADERS: [header::HeaderName; 8] = [
     header::CONNECTION,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -275,9 +275,7 @@
     let route = routing.route(host, path).map_err(refuse)?;
     if routing.needs_key(route) && !confidence.can_accept_keys {
         let reason = "the store has not confirmed for too long that keys are valid";
-        // An outage of the store lasts for seconds, and all callers that are refused meanwhile come back.
-        let retry_after = head.timeout.map_or(NOT_READY_RETRY_AFTER, attempts::retry_after);
-        return Err(Failure::refused(reason, retry_after));
+        return Err(Failure::refused(reason, NOT_READY_RETRY_AFTER));
     }
     let customer = routing.customer(route, head.api_key.as_deref()).map_err(refuse)?;
     Ok((route.clone(), customer))
