Revert the refusal of retries after half of their time

The price of requests that are held and not served grew, as retries were given up that late capacity would have served.

--- a/crates/core/src/stage_queue.rs
+++ b/crates/core/src/stage_queue.rs
@@ -74,11 +74,9 @@
         now + call_duration > self.due
     }
 
-    /// Returns whether a refusal loses more than the time in the queue: work that is done, or a caller that has come back. A
-    /// caller that has waited for half of its time is told so: what starts then is unlikely to be done in time.
-    fn is_costly_to_refuse(&self, now: Uptime) -> bool {
-        let half_time = self.expires.saturating_sub(self.queued_at) / 2;
-        self.has_inputs || (self.is_retry && now < self.queued_at + half_time)
+    /// Returns whether a refusal loses more than the time in the queue: work that is done, or the caller.
+    fn is_costly_to_refuse(&self) -> bool {
+        self.has_inputs || self.is_retry
     }
 
     /// Returns the sort key. Pieces that can be on time come first, ordered by due time and priority, then late pieces
@@ -89,7 +87,7 @@
         let time = if is_late { self.expires } else { self.due };
         Key {
             is_late,
-            is_late_and_refusable: is_late && !self.is_costly_to_refuse(now),
+            is_late_and_refusable: is_late && !self.is_costly_to_refuse(),
             time: time + priority_delay,
             group: self.group,
         }
@@ -157,7 +155,7 @@
                 queue_delay > LATE_WAIT_LIMIT || now + call_duration > piece.due + LATE_WAIT_LIMIT;
             let is_unserviceable = now + queue_delay + call_duration > piece.expires
                 || (piece.is_late(now, call_duration)
-                    && !piece.is_costly_to_refuse(now)
+                    && !piece.is_costly_to_refuse()
                     && is_delayed);
             ahead += u32::from(!is_unserviceable);
             is_unserviceable
