--- a/crates/core/src/stage_queue.rs
+++ b/crates/core/src/stage_queue.rs
@@ -39,8 +39,6 @@
     pub result_bytes: u64,
     /// Whether earlier stages of the request are done; their work is lost if the piece is refused.
     pub has_inputs: bool,
-    /// Whether the caller has come back after a refusal; it will not do so again.
-    pub is_retry: bool,
     /// Data centre of the inputs, or of the target that needs the result, if these are large.
     pub preferred_data_centre: Option<Name>,
 }
@@ -63,7 +61,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Key {
     is_late: bool,
-    is_late_and_refusable: bool,
+    is_late_without_inputs: bool,
     time: Duration,
     group: u64,
 }
@@ -74,20 +72,15 @@
         now + call_duration > self.due
     }
 
-    /// Returns whether a refusal loses more than the time in the queue: work that is done, or the caller.
-    fn is_costly_to_refuse(&self) -> bool {
-        self.has_inputs || self.is_retry
-    }
-
     /// Returns the sort key. Pieces that can be on time come first, ordered by due time and priority, then late pieces
-    /// that are costly to refuse, then other late pieces.
+    /// with inputs, then other late pieces.
     fn key(&self, now: Uptime, call_duration: Duration) -> Key {
         let priority_delay = PRIORITY_STEP * u32::from(self.priority);
         let is_late = self.is_late(now, call_duration);
         let time = if is_late { self.expires } else { self.due };
         Key {
             is_late,
-            is_late_and_refusable: is_late && !self.is_costly_to_refuse(),
+            is_late_without_inputs: is_late && !self.has_inputs,
             time: time + priority_delay,
             group: self.group,
         }
@@ -139,8 +132,9 @@
 
     /// Dequeues the pieces that can't be served.
     ///
-    /// These are the pieces whose call would end after the deadline, given the queue ahead, and late pieces that cost little to
-    /// refuse and have a long queue ahead or that pieces with time left have delayed for too long. `rate` is the throughput of all targets under load, in pieces per second.
+    /// These are the pieces whose call would end after the deadline, given the queue ahead, and late pieces without
+    /// inputs that have a long queue ahead or that pieces with time left have delayed for too long. Without inputs, no
+    /// work is lost. `rate` is the throughput of all targets under load, in pieces per second.
     pub fn dequeue_unserviceable(
         &mut self,
         now: Uptime,
@@ -154,9 +148,7 @@
             let is_delayed =
                 queue_delay > LATE_WAIT_LIMIT || now + call_duration > piece.due + LATE_WAIT_LIMIT;
             let is_unserviceable = now + queue_delay + call_duration > piece.expires
-                || (piece.is_late(now, call_duration)
-                    && !piece.is_costly_to_refuse()
-                    && is_delayed);
+                || (piece.is_late(now, call_duration) && !piece.has_inputs && is_delayed);
             ahead += u32::from(!is_unserviceable);
             is_unserviceable
         };
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -204,7 +204,6 @@
             route: &self.route,
             head: &self.head,
             priority: self.priority(),
-            is_retry: self.is_retry,
             since,
             deadline: self.deadline,
             target_data_centre: target.map(|tracked| tracked.target.data_centre.clone()),
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -239,7 +239,6 @@
         queued_at: job.queued_at,
         preferred_data_centre: job.req.near.clone(),
         has_inputs: !job.req.inputs.is_empty(),
-        is_retry: job.req.is_retry,
         due: job.due,
         expires: job.expires,
         priority: job.req.priority,
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -106,7 +106,6 @@
     pub(crate) route: &'a Route,
     pub(crate) head: &'a CallerHead,
     pub(crate) priority: u8,
-    pub(crate) is_retry: bool,
     /// When the request arrived or was restarted; the latency objective counts from then.
     pub(crate) since: Uptime,
     pub(crate) deadline: Uptime,
@@ -248,7 +247,6 @@
             left_ms: time_left.as_millis() as u64,
             due_ms: due.as_millis() as i64 - now.as_millis() as i64,
             priority: self.priority,
-            is_retry: self.is_retry,
             near: self.preferred_data_centre(shared, stage, &inputs),
             inputs,
         }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -2764,7 +2764,6 @@
 ///  "required": [
 ///    "due_ms",
 ///    "inputs",
-///    "is_retry",
 ///    "left_ms",
 ///    "pieces",
 ///    "pool",
@@ -2786,10 +2785,6 @@
 ///        "type": "string"
 ///      }
 ///    },
-///    "is_retry": {
-///      "description": "Whether the caller has come back after a refusal.",
-///      "type": "boolean"
-///    },
 ///    "key": {
 ///      "description": "Key of the pieces; set if the stage has no inputs.",
 ///      "type": "string"
@@ -2841,8 +2836,6 @@
     pub due_ms: i64,
     ///Handles of all results that the stage takes as inputs.
     pub inputs: ::std::vec::Vec<::std::string::String>,
-    ///Whether the caller has come back after a refusal.
-    pub is_retry: bool,
     ///Key of the pieces; set if the stage has no inputs.
     #[serde(default)]
     pub key: ::std::option::Option<::std::string::String>,
