Hedging tests: do not depend on which target is chosen first

The first waited for a request that reaches a given target first; after one slow answer the gateway prefers the other target, and the hang was met by a hedge. The target that is reached first now hangs, whichever it is.

--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -171,7 +171,8 @@
     crashes: Mutex<Vec<Instant>>,
     /// Requests that crashed the replica.
     poisoned: Mutex<Vec<(Instant, String)>>,
-    faults: Mutex<VecDeque<Fault>>,
+    /// Faults of the next requests; the queue may be shared with other replicas.
+    faults: Mutex<Arc<Mutex<VecDeque<Fault>>>>,
     runs: Mutex<Vec<Run>>,
     arrivals: Mutex<Vec<Arrival>>,
     /// Value of the header with which each reply names the replica's limit.
@@ -267,7 +268,13 @@
 
     /// Queues faults, each of which affects one of the next requests.
     pub fn add_faults(&self, faults: impl IntoIterator<Item = Fault>) {
-        self.state.faults.lock().extend(faults);
+        self.state.faults.lock().lock().extend(faults);
+    }
+
+    /// Shares the queue of faults with another replica, so that each fault affects whichever of them is reached first.
+    pub fn share_faults(&self, other: &Self) {
+        let faults = other.state.faults.lock().clone();
+        *self.state.faults.lock() = faults;
     }
 
     /// Returns the requests that ran.
@@ -576,7 +583,8 @@
     }
 
     async fn run_request(&mut self, run: Run) -> std::io::Result<()> {
-        let fault = self.state.faults.lock().pop_front();
+        let faults = self.state.faults.lock().clone();
+        let fault = faults.lock().pop_front();
         let refusal = [("Not-Executed", "1"), ("Attempt-Id", run.request.as_str())];
         match fault {
             Some(Fault::NotExecuted) => return self.respond(503, &refusal, b"").await,
