Attempts: one function exchanges a request with a target

Both attempts of a hedged request read the reply of a target in the same way, in two copies. No change of behaviour, except that the refusal of a hedge by its target is logged like that of the first attempt.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -112,6 +112,16 @@
     pub(crate) response: Response<Incoming>,
 }
 
+/// Outcome of sending a request to a target.
+enum Exchange {
+    /// The target has replied. The reply may be unsigned, or to another request.
+    Answered(Reply),
+    /// The target states with this status that it did not run the request.
+    NotRun(StatusCode),
+    /// The connection broke before the head of the reply.
+    Broken,
+}
+
 /// A caller's request and the state of its attempts.
 pub(crate) struct Attempts<D: Dialect, S: Store> {
     pub(crate) shared: Arc<Shared<D, S>>,
@@ -344,7 +354,7 @@
             // Asking the owner of a limit has taken time.
             let now = boottime::now();
             self.tried.insert(tracked.target.id.clone());
-            let mut connection = match Connection::open(tracked.target.addr).await {
+            let connection = match Connection::open(tracked.target.addr).await {
                 Ok(connection) => connection,
                 Err(err) => {
                     tracing::warn!(request = self.request(), target = tracked.target.id, %err, "connecting to the target failed");
@@ -364,50 +374,22 @@
                 );
             }
             let req = self.build_request(&tracked, &results, resume_after);
-            let load_at_send = tracked.load.snapshot(now).total;
-            let call = CallGuard::new(&tracked);
             self.runs += 1;
             self.on_first_sent(&tracked, now, &results);
-            let response = connection.send(req).await;
-            let sent = SentRequest { call, _connection: connection, sent_at: now, load_at_send };
-            let response = match response {
-                Ok(response) => response,
-                Err(err) => {
+            let status = match self.exchange(&tracked, connection, req, now).await {
+                Exchange::Answered(reply) => return Ok(reply),
+                Exchange::Broken => {
                     self.on_first_failed();
-                    sent.on_failure();
-                    self.on_break(&sent, false);
-                    tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
                     if self.start_retry("no_reply").await {
                         continue;
                     }
                     return Err(Failure::new(StatusCode::BAD_GATEWAY, "the target gave no reply"));
                 }
+                Exchange::NotRun(status) => status,
             };
-            let head = D::read_reply(response.status(), response.headers());
-            let is_own_reply = head.is_reply_to(self.request());
-            let limit = match head.limit {
-                LimitStatement::Unlimited if !is_own_reply => LimitStatement::Unknown,
-                limit => limit,
-            };
-            limits::observe(&self.shared, &tracked, limit, now);
-            if is_own_reply {
-                announcements::observe(&self.shared.targets, &tracked, &head, now);
-            }
-            if !(head.not_run && is_own_reply) {
-                return Ok(Reply { sent, head, response });
-            }
             self.on_first_failed();
-            self.on_refused_by_target(now);
             self.runs -= 1;
             not_run += 1;
-            let status = response.status();
-            tracing::info!(
-                request = self.request(),
-                target = tracked.target.id,
-                status = status.as_u16(),
-                "target did not run the request"
-            );
-            drop(sent);
             if !self.withdraw_retry("not_run") {
                 return Err(self.no_target_failure());
             }
@@ -419,6 +401,51 @@
         }
     }
 
+    /// Sends the request over a connection to a target, and records what the reply says about the target.
+    async fn exchange(
+        &mut self,
+        tracked: &Arc<TrackedTarget>,
+        mut connection: Connection,
+        req: Request<Full<Bytes>>,
+        sent_at: Uptime,
+    ) -> Exchange {
+        let load_at_send = tracked.load.snapshot(sent_at).total;
+        let call = CallGuard::new(tracked);
+        let response = connection.send(req).await;
+        let sent = SentRequest { call, _connection: connection, sent_at, load_at_send };
+        let response = match response {
+            Ok(response) => response,
+            Err(err) => {
+                sent.on_failure();
+                self.on_break(&sent, false);
+                tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
+                return Exchange::Broken;
+            }
+        };
+        let head = D::read_reply(response.status(), response.headers());
+        let is_own_reply = head.is_reply_to(self.request());
+        let limit = match head.limit {
+            LimitStatement::Unlimited if !is_own_reply => LimitStatement::Unknown,
+            limit => limit,
+        };
+        limits::observe(&self.shared, tracked, limit, sent_at);
+        if is_own_reply {
+            announcements::observe(&self.shared.targets, tracked, &head, sent_at);
+        }
+        if !(head.not_run && is_own_reply) {
+            return Exchange::Answered(Reply { sent, head, response });
+        }
+        self.on_refused_by_target(sent_at);
+        let status = response.status();
+        tracing::info!(
+            request = self.request(),
+            target = tracked.target.id,
+            status = status.as_u16(),
+            "target did not run the request"
+        );
+        Exchange::NotRun(status)
+    }
+
     fn no_target_failure(&self) -> Failure {
         if self.total_runs() > 0 {
             return Failure::new(
--- a/crates/gateway/src/attempts/hedge.rs
+++ b/crates/gateway/src/attempts/hedge.rs
@@ -19,10 +19,8 @@
 use tokio::time;
 
 use super::continuation::Begun;
-use super::{Attempts, CallGuard, Reply, SentRequest};
-use crate::announcements;
-use crate::dialect::{Dialect, LimitStatement};
-use crate::limits;
+use super::{Attempts, Exchange, Reply};
+use crate::dialect::Dialect;
 use crate::response::Failure;
 use crate::stage_runner::Results;
 use crate::targets::TrackedTarget;
@@ -325,7 +323,7 @@
         };
         race.second.lock().target = Some(tracked.clone());
         let connection = Connection::open(tracked.target.addr).await;
-        let mut connection = match connection {
+        let connection = match connection {
             Ok(connection) if race.is_current(&in_flight) => connection,
             Ok(_) => {
                 // The first attempt has ended, and may need this target.
@@ -340,7 +338,6 @@
         };
         let now = boottime::now();
         let req = self.build_request(&tracked, &in_flight.results, None);
-        let load_at_send = tracked.load.snapshot(now).total;
         {
             let mut second = race.second.lock();
             second.sent_at = Some(now);
@@ -349,34 +346,14 @@
         }
         let labels = [KeyValue::new("pool", self.pool.clone()), KeyValue::new("event", "sent")];
         self.shared.metrics.hedges.add(1, &labels);
-        let call = CallGuard::new(&tracked);
-        let response = connection.send(req).await;
-        let sent = SentRequest { call, _connection: connection, sent_at: now, load_at_send };
-        let response = match response {
-            Ok(response) => response,
-            Err(err) => {
-                sent.on_failure();
-                self.on_break(&sent, false);
-                tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
+        let reply = match self.exchange(&tracked, connection, req, now).await {
+            Exchange::Answered(reply) => reply,
+            Exchange::Broken => return None,
+            Exchange::NotRun(_) => {
+                race.second.lock().may_have_run = false;
                 return None;
             }
         };
-        let head = D::read_reply(response.status(), response.headers());
-        let is_own_reply = head.is_reply_to(self.request());
-        let limit = match head.limit {
-            LimitStatement::Unlimited if !is_own_reply => LimitStatement::Unknown,
-            limit => limit,
-        };
-        limits::observe(&self.shared, &tracked, limit, now);
-        if is_own_reply {
-            announcements::observe(&self.shared.targets, &tracked, &head, now);
-        }
-        if head.not_run && is_own_reply {
-            self.on_refused_by_target(now);
-            race.second.lock().may_have_run = false;
-            return None;
-        }
-        let reply = Reply { sent, head, response };
         if !reply.is_reply_to(self.request()) {
             tracing::warn!(
                 request = self.request(),
