--- a/crates/testbed/src/gateways.rs
+++ b/crates/testbed/src/gateways.rs
@@ -12,6 +12,8 @@
 use marigold_standin::replica::{Options, Poison, Replica};
 use serde_json::{Value, json};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
 
 use crate::process::{self, Process};
 use crate::relay::Relay;
@@ -81,7 +83,7 @@
     written: Arc<Mutex<Written>>,
     states_after_crash: Arc<Mutex<StatesAfterCrash>>,
     /// Tasks that keep the entries of replicas that crash.
-    entry_keepers: tokio::task::JoinSet<()>,
+    entry_keepers: JoinSet<()>,
     store_addr: SocketAddr,
     _server: Server,
 }
@@ -135,7 +137,7 @@
             replica_starts: vec![1; replicas],
             written: Arc::default(),
             states_after_crash: Arc::default(),
-            entry_keepers: tokio::task::JoinSet::new(),
+            entry_keepers: JoinSet::new(),
             store_addr: addr,
             _server: server,
         };
@@ -435,7 +437,7 @@
                 started.elapsed() < Duration::from_secs(20),
                 "gateway {number} does not accept connections"
             );
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            time::sleep(Duration::from_millis(10)).await;
         }
     }
 
@@ -452,7 +454,7 @@
                 started.elapsed() < Duration::from_secs(20),
                 "gateway {number} does not report ready = {is_ready}"
             );
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            time::sleep(Duration::from_millis(20)).await;
         }
     }
 
@@ -472,6 +474,39 @@
         send(self.gateways[number].addr, path, request, headers).await
     }
 
+    /// Sends requests to the gateways in turn for some time, over connections that are reused, and returns the responses.
+    /// `pieces` is the header of that name, omitted if it is empty.
+    pub async fn send_in_turn(
+        &self,
+        path: &'static str,
+        pieces: &'static str,
+        interval: Duration,
+        duration: Duration,
+    ) -> Vec<Response> {
+        let client = reqwest::Client::builder().no_proxy().build();
+        let client = client.expect("the HTTP client is built");
+        let mut interval = time::interval(interval);
+        let mut requests = JoinSet::new();
+        let started = Instant::now();
+        for number in 0.. {
+            interval.tick().await;
+            if started.elapsed() >= duration {
+                break;
+            }
+            let (client, addr) = (client.clone(), self.gateways[number % self.gateways.len()].addr);
+            requests.spawn(async move {
+                let auth = format!("Bearer {API_KEY}");
+                let request = format!("{number}-{}", started.elapsed().as_micros());
+                let mut headers = vec![("authorization", auth.as_str())];
+                if !pieces.is_empty() {
+                    headers.push(("pieces", pieces));
+                }
+                send_with(&client, addr, path, &request, &headers).await
+            });
+        }
+        requests.join_all().await
+    }
+
     /// Returns how often the replicas of the pool `app` ran a request.
     pub fn run_count(&self, request: &str) -> usize {
         let runs = self.replicas.iter().flat_map(Replica::runs);
@@ -521,7 +556,7 @@
                 return;
             }
             self.relay.set_down(true);
-            tokio::time::sleep(EXPIRY).await;
+            time::sleep(EXPIRY).await;
             let entry = self.written_entry(&gone);
             remove(&self.platform, &self.written, "servers", &gone).await;
             let back = match id.wait_for(Option::is_some).await {
