--- a/crates/core/tests/memory_budget.rs
+++ b/crates/core/tests/memory_budget.rs
@@ -39,7 +39,7 @@
     assert!(budget.complete(slow));
 }
 
-/// Guards against two equal bodies of which one is given up for the other for the sake of its age alone, again and again.
+/// Guards against two equal bodies of which one is given up for the other only because of its age, again and again.
 #[test]
 fn grow_slower_body_is_denied() {
     let mut budget = MemoryBudget::new(8 * MB);
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -99,7 +99,7 @@
             used,
             capacity,
             suppressed,
-            "refused for the sake of memory or descriptors"
+            "refused, the memory or descriptor limit is reached"
         );
     }
 }
