--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -112,10 +112,8 @@
     pub(crate) response: Response<Incoming>,
 }
 
-/// Outcome of sending a request to a target.
-enum Exchange {
-    /// The target has replied. The reply may be unsigned, or to another request.
-    Answered(Reply),
+/// Reason why a target has not answered a request.
+enum NoAnswer {
     /// The target states with this status that it did not run the request.
     NotRun(StatusCode),
     /// The connection broke before the head of the reply.
@@ -377,15 +375,15 @@
             self.runs += 1;
             self.on_first_sent(&tracked, now, &results);
             let status = match self.exchange(&tracked, connection, req, now).await {
-                Exchange::Answered(reply) => return Ok(reply),
-                Exchange::Broken => {
+                Ok(reply) => return Ok(reply),
+                Err(NoAnswer::Broken) => {
                     self.on_first_failed();
                     if self.start_retry("no_reply").await {
                         continue;
                     }
                     return Err(Failure::new(StatusCode::BAD_GATEWAY, "the target gave no reply"));
                 }
-                Exchange::NotRun(status) => status,
+                Err(NoAnswer::NotRun(status)) => status,
             };
             self.on_first_failed();
             self.runs -= 1;
@@ -401,14 +399,15 @@
         }
     }
 
-    /// Sends the request over a connection to a target, and records what the reply says about the target.
+    /// Sends the request over a connection to a target, and records what the reply says about the target. The reply may be
+    /// unsigned, or to another request.
     async fn exchange(
         &mut self,
         tracked: &Arc<TrackedTarget>,
         mut connection: Connection,
         req: Request<Full<Bytes>>,
         sent_at: Uptime,
-    ) -> Exchange {
+    ) -> Result<Reply, NoAnswer> {
         let load_at_send = tracked.load.snapshot(sent_at).total;
         let call = CallGuard::new(tracked);
         let response = connection.send(req).await;
@@ -419,7 +418,7 @@
                 sent.on_failure();
                 self.on_break(&sent, false);
                 tracing::warn!(request = self.request(), target = tracked.target.id, %err, "no reply from the target");
-                return Exchange::Broken;
+                return Err(NoAnswer::Broken);
             }
         };
         let head = D::read_reply(response.status(), response.headers());
@@ -433,7 +432,7 @@
             announcements::observe(&self.shared.targets, tracked, &head, sent_at);
         }
         if !(head.not_run && is_own_reply) {
-            return Exchange::Answered(Reply { sent, head, response });
+            return Ok(Reply { sent, head, response });
         }
         self.on_refused_by_target(sent_at);
         let status = response.status();
@@ -443,7 +442,7 @@
             status = status.as_u16(),
             "target did not run the request"
         );
-        Exchange::NotRun(status)
+        Err(NoAnswer::NotRun(status))
     }
 
     fn no_target_failure(&self) -> Failure {
--- a/crates/gateway/src/attempts/hedge.rs
+++ b/crates/gateway/src/attempts/hedge.rs
@@ -19,7 +19,7 @@
 use tokio::time;
 
 use super::continuation::Begun;
-use super::{Attempts, Exchange, Reply};
+use super::{Attempts, NoAnswer, Reply};
 use crate::dialect::Dialect;
 use crate::response::Failure;
 use crate::stage_runner::Results;
@@ -347,9 +347,9 @@
         let labels = [KeyValue::new("pool", self.pool.clone()), KeyValue::new("event", "sent")];
         self.shared.metrics.hedges.add(1, &labels);
         let reply = match self.exchange(&tracked, connection, req, now).await {
-            Exchange::Answered(reply) => reply,
-            Exchange::Broken => return None,
-            Exchange::NotRun(_) => {
+            Ok(reply) => reply,
+            Err(NoAnswer::Broken) => return None,
+            Err(NoAnswer::NotRun(_)) => {
                 race.second.lock().may_have_run = false;
                 return None;
             }
