Log: what each request waits for, and the requests that the end of the process cuts

A request that the end of a stopping gateway cut left no line: its guard writes one when it is dropped, but by then the writer of the log has ended.

'request ended' bears the phase, 'stopping' the number of requests in each phase, and what is left at the end is logged by id before the process ends.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -26,6 +26,7 @@
 
 use crate::announcements;
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
+use crate::in_progress::{Phase, Progress};
 use crate::limits;
 use crate::origins::versions;
 use crate::response::Failure;
@@ -151,6 +152,7 @@
     pub(crate) tried: HashSet<Name>,
     /// Set while the request may be hedged, or has been.
     pub(crate) race: Option<Arc<hedge::Race<D, S>>>,
+    pub(crate) progress: Arc<Progress>,
 }
 
 impl<D: Dialect, S: Store> Attempts<D, S> {
@@ -223,6 +225,7 @@
     /// # Errors
     /// A refusal when a stage fails; the request itself has not run.
     pub(crate) async fn run_stages(&self, since: Uptime) -> Result<Results<D, S>, Failure> {
+        self.progress.set_phase(Phase::Stages);
         self.stage_runner(since).run(&self.shared).await.map_err(|failure| {
             let reason = match failure {
                 PieceFailure::Late => "the stages could not be done in time",
@@ -321,6 +324,7 @@
         // Targets whose limits left no request for this one.
         let mut denied = HashSet::new();
         loop {
+            self.progress.set_phase(Phase::Connecting);
             if let Some(entry) = self.quarantine() {
                 return Err(self.quarantine_failure(&entry));
             }
@@ -373,6 +377,7 @@
             }
             let req = self.build_request(&tracked, &results, resume_after);
             self.runs += 1;
+            self.progress.set_phase(Phase::Answer);
             self.on_first_sent(&tracked, now, &results);
             let status = match self.exchange(&tracked, connection, req, now).await {
                 Ok(reply) => return Ok(reply),
--- a/crates/gateway/src/attempts/hedge.rs
+++ b/crates/gateway/src/attempts/hedge.rs
@@ -175,6 +175,7 @@
             begun: None,
             tried: HashSet::new(),
             race: None,
+            progress: self.progress.clone(),
         };
         Some((second, delay))
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -99,7 +99,7 @@
 
     /// Returns the number of requests in progress.
     pub fn in_flight(&self) -> usize {
-        self.shared.in_flight()
+        self.shared.in_progress.len()
     }
 
     /// Applies changed settings, as far as that is possible in a running process.
@@ -141,12 +141,14 @@
             Duration::from_secs(u64::from(self.shared.settings().stop_s.get())) - CLOSE_MARGIN;
         let started = time::Instant::now();
         self.shared.stopping.send_replace(true);
-        tracing::info!(in_flight = self.in_flight(), stop = ?timeout, "stopping; reporting not ready");
+        let waiting = self.shared.in_progress.summary();
+        tracing::info!(in_flight = self.in_flight(), waiting, stop = ?timeout, "stopping; reporting not ready");
         time::sleep(DRAIN_DELAY.min(timeout)).await;
         self.close.send_replace(true);
         while !self.callers.has_ended() && started.elapsed() < timeout {
             time::sleep(POLL_INTERVAL).await;
         }
+        self.shared.in_progress.log_cut(boottime::now());
         tracing::info!(in_flight = self.in_flight(), took = ?started.elapsed(), "stopped");
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod head_timeout;
 mod hedging;
 mod http_server;
+mod in_progress;
 mod learned_durations;
 mod limits;
 mod load_reports;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,6 +23,7 @@
 
 use crate::attempts::{self, Attempts, Reply};
 use crate::dialect::{CallerHead, Dialect};
+use crate::in_progress::{Phase, Progress};
 use crate::memory::{Denied, Hold, Memory};
 use crate::relay::{self, EventStream, StreamItem};
 use crate::response::{self, Body, Failure};
@@ -54,11 +55,11 @@
     first_byte: Option<Duration>,
     is_retry: bool,
     is_finished: bool,
+    progress: Arc<Progress>,
 }
 
 impl<D: Dialect, S: Store> RequestGuard<D, S> {
     fn new(shared: &Arc<Shared<D, S>>, arrived: Uptime) -> Self {
-        shared.start_request();
         Self {
             shared: shared.clone(),
             request: String::new(),
@@ -68,6 +69,7 @@
             first_byte: None,
             is_retry: false,
             is_finished: false,
+            progress: shared.in_progress.open(arrived),
         }
     }
 
@@ -98,6 +100,7 @@
             first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64),
             is_retry = self.is_retry,
             took_ms = self.elapsed().as_millis() as u64,
+            phase = self.progress.phase().as_str(),
             outcome,
             "request ended"
         );
@@ -114,7 +117,7 @@
         if !self.is_finished {
             self.record(0, "caller_left", None);
         }
-        self.shared.end_request();
+        self.shared.in_progress.close(&self.progress);
     }
 }
 
@@ -162,6 +165,7 @@
         |reason: String| Failure::new(StatusCode::BAD_REQUEST, reason).closing_connection();
     let head = D::read_caller(&parts.headers).map_err(|err| bad_request(err.to_string()))?;
     guard.request.clone_from(&head.request);
+    guard.progress.set_request(&head.request);
     let host = check_framing(parts).map_err(|reason| bad_request(reason.to_owned()))?;
     let not_ready = |reason: &str| Failure::refused(reason, NOT_READY_RETRY_AFTER);
     let Some(adopted) = shared.adopted.load_full() else {
@@ -176,6 +180,7 @@
     guard.version = adopted.routing.version;
     let (route, customer) = authorize(shared, &adopted, host, parts.uri.path(), &head)?;
     guard.route.clone_from(&route.name);
+    guard.progress.set_route(&route.name);
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = guard.arrived + timeout;
     let is_retry = head.timeout.is_some_and(|timeout| {
@@ -221,6 +226,7 @@
         begun: None,
         tried: HashSet::new(),
         race: None,
+        progress: guard.progress.clone(),
     })
 }
 
@@ -432,6 +438,7 @@
 async fn execute<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
+    attempts.progress.set_phase(Phase::Checks);
     attempts.check_quarantine().await?;
     attempts.find_origin().await?;
     attempts.check_targets()?;
@@ -630,6 +637,7 @@
         Some(first_events) => {
             // The channel is empty, so this doesn't fail.
             let _ = tx.try_send(Ok(first_events));
+            attempts.progress.set_phase(Phase::Stream);
             let deadline = attempts.deadline;
             tokio::spawn(relay::run(stream, attempts, tx, deadline, guard));
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::marker::PhantomData;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -27,6 +27,7 @@
 use crate::dialect::Dialect;
 use crate::evacuations::Evacuations;
 use crate::hedging::Hedging;
+use crate::in_progress::InProgress;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
 use crate::load_reports::{self, SharedLoad};
@@ -133,7 +134,8 @@
     reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
     /// Memory that is left for responses that are being gathered, in bytes.
     pub(crate) gathered_bytes: Semaphore,
-    in_flight: AtomicUsize,
+    /// Requests of callers in progress.
+    pub(crate) in_progress: InProgress,
     dialect: PhantomData<D>,
 }
 
@@ -189,7 +191,7 @@
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
             gathered_bytes: Semaphore::new(request::MAX_GATHERED_BYTES),
-            in_flight: AtomicUsize::new(0),
+            in_progress: InProgress::default(),
             dialect: PhantomData,
         }
     }
@@ -574,16 +576,4 @@
         self.metrics.text()
     }
 
-    /// Returns the number of requests in progress.
-    pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn start_request(&self) {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(crate) fn end_request(&self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
 }
