--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -183,6 +183,8 @@
     extra_delay: Mutex<Duration>,
     /// Value of `Retry-After` with which the replica refuses all requests.
     pause: Mutex<Option<String>>,
+    /// Delays of calls with pieces of a stage, by its index, in addition to the duration of the options.
+    stage_delays: Mutex<HashMap<u64, Duration>>,
     call_fault: Mutex<Option<CallFault>>,
     /// Number of the next calls of pieces that find no room for any result.
     full_calls: AtomicUsize,
@@ -322,6 +324,11 @@
         *self.state.extra_delay.lock() = delay;
     }
 
+    /// Delays each stage call with pieces of a stage from now on.
+    pub fn set_stage_delay(&self, stage: u64, delay: Duration) {
+        self.state.stage_delays.lock().insert(stage, delay);
+    }
+
     /// Refuses all requests with this value of `Retry-After` from now on; `None` ends it.
     pub fn set_pause(&self, pause: Option<&str>) {
         *self.state.pause.lock() = pause.map(str::to_owned);
@@ -529,7 +536,7 @@
         let body: Value = serde_json::from_slice(&run.body).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
         self.state.stage_call_sizes.lock().push(items.len());
-        time::sleep(self.options.stage_call_duration).await;
+        time::sleep(self.options.stage_call_duration + self.stage_delay(&items)).await;
         let decrement = |count: usize| count.checked_sub(1);
         let order = Ordering::SeqCst;
         let is_full = self.state.full_calls.fetch_update(order, order, decrement).is_ok();
@@ -551,6 +558,13 @@
         self.respond_to_call(reply).await
     }
 
+    /// Returns the longest delay of the stages of some pieces.
+    fn stage_delay(&self, items: &[Value]) -> Duration {
+        let delays = self.state.stage_delays.lock();
+        let stages = items.iter().filter_map(|item| item["stage"].as_u64());
+        stages.filter_map(|stage| delays.get(&stage).copied()).max().unwrap_or_default()
+    }
+
     /// Sends the last reply to a call once more.
     async fn repeat_reply(&mut self) -> std::io::Result<()> {
         match self.last_reply.clone() {
