Signals: a repeated SIGTERM does not cut requests

Callers saw their connections closed without an answer when a gateway got SIGTERM a second time during its stop: 6 of 6 requests at targets. Cause: any second stop signal ended the process at once. Supervisors repeat SIGTERM, and planned stops overlap.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,7 +18,7 @@
 /// Runs a gateway until it has been asked to stop and has drained. `open_store` opens the store at an address.
 ///
 /// # Errors
-/// When the settings are invalid, a port cannot be opened, or a second signal ends the process at once.
+/// When the settings are invalid, a port cannot be opened, or `SIGINT` ends the draining process at once.
 pub async fn run<D: Dialect, S: Store>(
     options: Options,
     open_store: impl FnOnce(&str) -> marigold_objects::Result<S>,
@@ -47,6 +47,6 @@
     }
     tokio::select! {
         () = gateway.drain() => Ok(()),
-        () = signals.wait_for_stop() => anyhow::bail!("stopped at once by a second signal; requests cut: {}", gateway.in_flight()),
+        () = signals.wait_for_interrupt() => anyhow::bail!("stopped at once by SIGINT; requests cut: {}", gateway.in_flight()),
     }
 }
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -1,6 +1,7 @@
 //! Signals for a graceful shutdown and for a reload of the settings.
 //!
-//! The binaries drain on the first stop signal and exit at once on the second.
+//! The binaries drain on the first stop signal. Supervisors may repeat `SIGTERM`, so only `SIGINT` ends a draining process at
+//! once.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -33,6 +34,11 @@
         })
     }
 
+    /// Waits for `SIGINT`; other signals are ignored.
+    pub async fn wait_for_interrupt(&mut self) {
+        self.interrupt.recv().await;
+    }
+
     /// Waits for the next stop signal; other signals are ignored.
     pub async fn wait_for_stop(&mut self) {
         while self.next_action().await != SignalAction::Stop {}
