Callers: a response before the end of a body is not lost to a reset

A caller whose request was refused before its body had ended, such as 413, 408 or a 503 for lack of memory, saw a broken pipe while it sent the rest, and callers that read only then lost the response: the connection was closed with unread bytes, which resets it. Such a connection is now closed for writing first, and what still arrives is discarded for up to 0.5 s or until the caller closes it. response_before_the_end_of_a_body_reaches_a_caller_that_sends_first: broken pipe before, 413 after.

--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,15 +15,20 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{self, Instant};
+use tokio::time::{self, Instant, Sleep};
 
 use crate::response::{Aborted, Body};
 
+/// Time for which a connection is kept after a response to a request whose body is still being sent.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
 /// Measures the time since the first byte of a request head on one connection.
 pub(crate) struct HeadTimer {
     /// Arrival of the first byte of a head that is incomplete.
     started: Mutex<Option<Instant>>,
     is_busy: AtomicBool,
+    /// Whether the caller may still send the body of the last request.
+    has_unread_body: AtomicBool,
     /// When the connection was opened, or its last response ended.
     idle_since: Mutex<Instant>,
     head_started: Notify,
@@ -34,6 +39,7 @@
         Self {
             started: Mutex::default(),
             is_busy: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
             idle_since: Mutex::new(Instant::now()),
             head_started: Notify::new(),
         }
@@ -62,6 +68,11 @@
         BusyGuard(self.clone())
     }
 
+    /// Records that the body of the request was not read to its end.
+    pub(crate) fn on_unread_body(&self) {
+        self.has_unread_body.store(true, Ordering::Relaxed);
+    }
+
     /// Returns when a head has been incomplete for `timeout`.
     pub(crate) async fn expired(&self, timeout: Duration) {
         loop {
@@ -89,8 +100,33 @@
 
 /// A connection that starts the timer when bytes arrive.
 pub(crate) struct TimedStream {
-    pub(crate) stream: TcpStream,
-    pub(crate) timer: Arc<HeadTimer>,
+    stream: TcpStream,
+    timer: Arc<HeadTimer>,
+    /// Time for which the connection still lingers; set once its write half is closed.
+    lingering: Option<Pin<Box<Sleep>>>,
+}
+
+impl TimedStream {
+    pub(crate) fn new(stream: TcpStream, timer: Arc<HeadTimer>) -> Self {
+        Self { stream, timer, lingering: None }
+    }
+
+    /// Discards what the caller sends until it closes the connection. A connection that is closed with unread bytes is
+    /// reset, and the caller may lose the response.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let lingering = self.lingering.get_or_insert_with(|| Box::pin(time::sleep(LINGER_TIME)));
+        if lingering.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        let mut bytes = [0; 4096];
+        loop {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {}
+                _ => return Poll::Ready(Ok(())),
+            }
+        }
+    }
 }
 
 impl AsyncRead for TimedStream {
@@ -122,7 +158,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if self.lingering.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        if self.timer.has_unread_body.load(Ordering::Relaxed) {
+            return self.poll_linger(cx);
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -18,7 +18,7 @@
 
 use crate::connections::{ConnectionGuard, Connections};
 use crate::head_timeout::{BusyBody, HeadTimer, TimedStream};
-use crate::response::Body;
+use crate::response::{Body, UnreadBody};
 use crate::upstream;
 
 /// Backoff after a failed accept, for example while the process has no file descriptors left.
@@ -226,8 +226,12 @@
         has_request.send_replace(true);
         let service = service.clone();
         let busy = request_timer.on_request();
+        let timer = request_timer.clone();
         async move {
             let response = service.call(req).await;
+            if response.extensions().get::<UnreadBody>().is_some() {
+                timer.on_unread_body();
+            }
             Ok::<_, Infallible>(response.map(|body| BusyBody { body, _busy: busy }))
         }
     });
@@ -235,7 +239,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TimedStream { stream, timer: timer.clone() }), handler);
+        .serve_connection(TokioIo::new(TimedStream::new(stream, timer.clone())), handler);
     tokio::pin!(connection);
     let result = tokio::select! {
         result = &mut connection => result,
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -62,6 +62,10 @@
     response
 }
 
+/// Marks a response whose request has a body that was not read to its end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnreadBody;
+
 /// Error response that the gateway itself generates.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Failure {
@@ -105,6 +109,7 @@
         }
         if failure.closes_connection {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            response.extensions_mut().insert(UnreadBody);
         }
         response
     }
