Stop: requests that cannot be done before the process ends are refused

Callers saw connections closed without an answer at the end of a planned stop: requests that waited for a stage or a target, bodies that ended late, requests that need longer than is left, among them some that may run once. Cause: nothing between the arrival of a request and the end of the process asked for the stop; each step waited for up to the request's own deadline, which may be later than the end of the process. The stop has a time by which each request has an answer. New requests, and bodies, are taken as long as nearly all answers of their route are complete before it (mean and four deviations of the response times so far); stages are waited for, and a target is sent the request, only while that holds.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -5,6 +5,7 @@
 mod held;
 mod limited;
 mod quarantined;
+mod stopping;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -226,7 +227,13 @@
     /// A refusal when a stage fails; the request itself has not run.
     pub(crate) async fn run_stages(&self, since: Uptime) -> Result<Results<D, S>, Failure> {
         self.progress.set_phase(Phase::Stages);
-        self.stage_runner(since).run(&self.shared).await.map_err(|failure| {
+        let too_late = self.shared.stop.too_late_for(self.response_time());
+        let results = tokio::select! {
+            biased;
+            results = self.stage_runner(since).run(&self.shared) => results,
+            () = too_late => return Err(self.stop_failure()),
+        };
+        results.map_err(|failure| {
             let reason = match failure {
                 PieceFailure::Late => "the stages could not be done in time",
                 PieceFailure::InputGone => "a stage's results were lost",
@@ -328,6 +335,7 @@
             if let Some(entry) = self.quarantine() {
                 return Err(self.quarantine_failure(&entry));
             }
+            self.check_sending()?;
             if self.is_beginning() {
                 versions::ensure_adopted(&self.shared, &self.pool).await;
             }
@@ -365,6 +373,8 @@
                     continue;
                 }
             };
+            // Opening the connection, and asking for a place, have taken time.
+            self.check_sending()?;
             if let Some(last_event) = resume_after {
                 tracing::info!(
                     request = self.request(),
@@ -450,6 +460,15 @@
         Err(NoAnswer::NotRun(status))
     }
 
+    /// Returns the failure of a request whose deadline has passed.
+    pub(crate) fn deadline_failure(&self) -> Failure {
+        if self.total_runs() > 0 {
+            Failure::new(StatusCode::GATEWAY_TIMEOUT, "the target did not answer in time")
+        } else {
+            Failure::new(StatusCode::SERVICE_UNAVAILABLE, "the request could not be run in time")
+        }
+    }
+
     fn no_target_failure(&self) -> Failure {
         if self.total_runs() > 0 {
             return Failure::new(
--- /dev/null
+++ b/crates/gateway/src/attempts/stopping.rs
@@ -0,0 +1,60 @@
+//! Requests while the gateway is being stopped: what cannot be done before it ends is refused.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use marigold_core::ids::Uptime;
+use marigold_objects::Store;
+use marigold_process::boottime;
+
+use super::Attempts;
+use crate::dialect::Dialect;
+use crate::response::Failure;
+
+impl<D: Dialect, S: Store> Attempts<D, S> {
+    /// Estimates the time from sending the request to a target until its answer is complete.
+    pub(super) fn response_time(&self) -> Duration {
+        let default = self.route.latency_objective;
+        self.shared.durations.estimate_response(&self.route.name, default)
+    }
+
+    /// Records that the answer to a request that was sent at a time is complete.
+    pub(crate) fn observe_response(&self, sent_at: Uptime) {
+        let duration = boottime::now().saturating_sub(sent_at);
+        self.shared.durations.observe_response(&self.route.name, duration);
+    }
+
+    /// Checks whether a request that has not begun can be done before the gateway ends.
+    ///
+    /// # Errors
+    /// A refusal.
+    pub(crate) fn check_stop(&self) -> Result<(), Failure> {
+        if !self.shared.is_stopping() {
+            return Ok(());
+        }
+        let estimates = self.stage_runner(self.arrived).estimate_first_event(&self.shared);
+        let first_event = estimates.map_or(Duration::ZERO, |(expected, _)| expected);
+        self.check_time(first_event + self.response_time())
+    }
+
+    /// Checks whether a target that is sent the request now would answer before the gateway ends.
+    ///
+    /// # Errors
+    /// [`Self::stop_failure`].
+    pub(super) fn check_sending(&self) -> Result<(), Failure> {
+        self.check_time(self.response_time())
+    }
+
+    fn check_time(&self, duration: Duration) -> Result<(), Failure> {
+        if self.shared.stop.is_too_late_for(duration) { Err(self.stop_failure()) } else { Ok(()) }
+    }
+
+    /// Returns the failure of a request that is given up because the gateway ends; a refusal if it has not run.
+    pub(crate) fn stop_failure(&self) -> Failure {
+        if self.total_runs() > 0 {
+            let reason = "the target did not answer before the end of the gateway";
+            return Failure::new(StatusCode::GATEWAY_TIMEOUT, reason);
+        }
+        Failure::stopping()
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use marigold_core::stop::Stop;
 use marigold_link::security::Security;
 use marigold_link::server::Server as LinkServer;
 use marigold_objects::Store;
@@ -26,8 +27,6 @@
 /// Time from a stop request to the closing of connections. The load balancer removes a gateway after two failed
 /// readiness checks, one a second, and opens new connections until then.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
-/// Part of the stop time that is reserved for closing connections.
-const CLOSE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which a stopping gateway checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -135,20 +134,27 @@
     }
 
     /// Reports the gateway as not ready, then closes its HTTP ports and waits until the requests in progress have been
-    /// answered or the stop time has passed.
+    /// answered. Those that cannot be done within the stop time are given up before its end.
     pub async fn drain(&self) {
-        let timeout =
-            Duration::from_secs(u64::from(self.shared.settings().stop_s.get())) - CLOSE_MARGIN;
-        let started = time::Instant::now();
-        self.shared.stopping.send_replace(true);
+        let stop_time = Duration::from_secs(u64::from(self.shared.settings().stop_s.get()));
+        let started = boottime::now();
+        let stop = Stop::begin(started, stop_time);
+        self.shared.stop.begin(stop);
         let waiting = self.shared.in_progress.summary();
-        tracing::info!(in_flight = self.in_flight(), waiting, stop = ?timeout, "stopping; reporting not ready");
-        time::sleep(DRAIN_DELAY.min(timeout)).await;
+        tracing::info!(
+            in_flight = self.in_flight(),
+            waiting,
+            ?stop_time,
+            "stopping; reporting not ready"
+        );
+        time::sleep(DRAIN_DELAY.min(stop.slack(Duration::ZERO, started))).await;
         self.close.send_replace(true);
-        while !self.callers.has_ended() && started.elapsed() < timeout {
+        while !self.callers.has_ended() && boottime::now() < stop.exit_by {
             time::sleep(POLL_INTERVAL).await;
         }
-        self.shared.in_progress.log_cut(boottime::now());
-        tracing::info!(in_flight = self.in_flight(), took = ?started.elapsed(), "stopped");
+        let now = boottime::now();
+        self.shared.in_progress.log_cut(now);
+        let took = now.saturating_sub(started);
+        tracing::info!(in_flight = self.in_flight(), ?took, "stopped");
     }
 }
--- a/crates/gateway/src/learned_durations.rs
+++ b/crates/gateway/src/learned_durations.rs
@@ -7,6 +7,7 @@
 use marigold_core::caller_retry::CallerTimeout;
 use marigold_core::duration_estimate::{DurationEstimate, DurationEstimator};
 use marigold_core::ids::{Name, Uptime};
+use marigold_core::response_time::ResponseTime;
 use marigold_core::routes::Routing;
 use parking_lot::Mutex;
 
@@ -18,6 +19,8 @@
     /// By route, since targets need longer to read long prompts.
     first_events: Mutex<HashMap<Name, DurationEstimator>>,
     /// By route.
+    responses: Mutex<HashMap<Name, ResponseTime>>,
+    /// By route.
     caller_timeouts: Mutex<HashMap<Name, CallerTimeout>>,
 }
 
@@ -27,6 +30,7 @@
         self.stages.lock().retain(|(pool, _), _| routing.pools.contains_key(pool));
         let routes: HashSet<&str> = routing.routes().map(|route| route.name.as_str()).collect();
         self.first_events.lock().retain(|route, _| routes.contains(route.as_str()));
+        self.responses.lock().retain(|route, _| routes.contains(route.as_str()));
         self.caller_timeouts.lock().retain(|route, _| routes.contains(route.as_str()));
     }
 
@@ -81,4 +85,20 @@
             first_events.entry(route.to_owned()).or_default().observe(sample, now);
         }
     }
+
+    /// Estimates the time from sending a request to a target until its answer is complete; nearly all take less. `default`
+    /// applies without samples.
+    pub(crate) fn estimate_response(&self, route: &str, default: Duration) -> Duration {
+        self.responses.lock().get(route).map_or(default, ResponseTime::upper)
+    }
+
+    /// Records the time until an answer was complete.
+    pub(crate) fn observe_response(&self, route: &str, sample: Duration) {
+        let mut responses = self.responses.lock();
+        if let Some(estimator) = responses.get_mut(route) {
+            estimator.observe(sample);
+        } else {
+            responses.insert(route.to_owned(), ResponseTime::new(sample));
+        }
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod shared;
 mod stage_connections;
 mod stage_runner;
+mod stop;
 mod target_relay;
 mod targets;
 pub mod upstream;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -137,7 +137,7 @@
     }
 }
 
-/// Forwards events until the stream ends, the caller disconnects, or the deadline and its grace time have passed.
+/// Forwards events until the stream ends, the caller disconnects, the deadline and its grace time have passed, or the gateway ends.
 pub(crate) async fn run<D: Dialect, S: Store>(
     mut stream: EventStream,
     mut attempts: Attempts<D, S>,
@@ -145,6 +145,7 @@
     deadline: Uptime,
     guard: RequestGuard<D, S>,
 ) {
+    let shared = attempts.shared.clone();
     let outcome = {
         let forwarded = forward_events(&mut stream, &mut attempts, &caller);
         let time_left = (deadline + DEADLINE_GRACE).saturating_sub(boottime::now());
@@ -152,13 +153,15 @@
             outcome = forwarded => outcome,
             () = caller.closed() => "caller_left",
             () = time::sleep(time_left) => "deadline",
+            () = shared.stop.out_of_time() => "stopped",
         }
     };
+    // Aborting the body waits for a caller that does not read.
+    guard.finish(StatusCode::OK, outcome, Some(stream.target()));
     if !matches!(outcome, "whole" | "caller_left") {
         // Closes the caller's connection without the end of the body.
         let _ = caller.send(Err(Aborted)).await;
     }
-    guard.finish(StatusCode::OK, outcome, Some(stream.target()));
 }
 
 /// Charges events to the memory budget until they are sent to the caller; `None` if others come first.
@@ -193,6 +196,7 @@
             }
             StreamItem::End if stream.has_events || is_end_claimed => {
                 attempts.on_stream_end();
+                attempts.observe_response(stream.sent_at());
                 return "whole";
             }
             // It may be the end, or a fault of the target, so a second one is asked.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -192,8 +192,12 @@
         shared.metrics.caller_retries.add(1, &labels);
     }
     let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
-    let body =
-        read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory).await?;
+    let response_time = shared.durations.estimate_response(&route.name, route.latency_objective);
+    let body = tokio::select! {
+        biased;
+        body = read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory) => body,
+        () = shared.stop.too_late_for(response_time) => Err(Failure::stopping().closing_connection()),
+    }?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
     shared.count_repeatable(route.repeat);
@@ -387,30 +391,30 @@
     Ok(())
 }
 
-/// Runs a request and returns the response, or a failure when the deadline passes first.
+/// Runs a request and returns the response, or a failure when its deadline or the stop time of the gateway passes first.
 async fn respond<D: Dialect, S: Store>(
     mut attempts: Attempts<D, S>,
     mut guard: RequestGuard<D, S>,
 ) -> Response<Body> {
+    let shared = attempts.shared.clone();
     let time_left = attempts.deadline.saturating_sub(boottime::now());
-    let result = time::timeout(time_left, execute(&mut attempts)).await;
+    let result = tokio::select! {
+        biased;
+        result = execute(&mut attempts) => result,
+        () = time::sleep(time_left) => Err(attempts.deadline_failure()),
+        () = shared.stop.out_of_time() => Err(attempts.stop_failure()),
+    };
     let failure = match result {
-        Ok(Ok(TargetResponse::Full { status, response, target })) => {
+        Ok(TargetResponse::Full { status, response, target }) => {
             guard.on_first_byte();
             guard.finish(status, "answered", Some(&target));
             return response;
         }
-        Ok(Ok(TargetResponse::Stream { head, first_events, stream })) => {
+        Ok(TargetResponse::Stream { head, first_events, stream }) => {
             guard.on_first_byte();
             return stream_response(head, first_events, stream, attempts, guard);
         }
-        Ok(Err(failure)) => failure,
-        Err(_) if attempts.total_runs() > 0 => {
-            Failure::new(StatusCode::GATEWAY_TIMEOUT, "the target did not answer in time")
-        }
-        Err(_) => {
-            Failure::new(StatusCode::SERVICE_UNAVAILABLE, "the request could not be run in time")
-        }
+        Err(failure) => failure,
     };
     failure_response(&failure, guard)
 }
@@ -439,6 +443,7 @@
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
     attempts.progress.set_phase(Phase::Checks);
+    attempts.check_stop()?;
     attempts.check_quarantine().await?;
     attempts.find_origin().await?;
     attempts.check_targets()?;
@@ -589,7 +594,8 @@
     if parts.status.is_server_error() {
         sent.on_failure()
     } else {
-        sent.on_success()
+        sent.on_success();
+        attempts.observe_response(sent.sent_at());
     }
     let mut response = response::full(parts.status, body);
     *response.headers_mut() = attempts::end_to_end_headers(&parts.headers);
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -62,6 +62,9 @@
     response
 }
 
+/// Retry-After of a request that is refused because the gateway is being stopped. Another one can take it at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Marks a response whose request has a body that was not read to its end.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UnreadBody;
@@ -90,6 +93,11 @@
         Self { retry_after: Some(retry_after), ..failure }
     }
 
+    /// Creates a refusal of a request that has not run and would not be done before the gateway ends.
+    pub(crate) fn stopping() -> Self {
+        Self::refused("the gateway is being stopped", STOP_RETRY_AFTER)
+    }
+
     /// Returns the failure with the connection closed after the response.
     pub(crate) fn closing_connection(self) -> Self {
         Self { closes_connection: true, ..self }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -41,6 +41,7 @@
 use crate::request;
 use crate::stage_connections::StageConnections;
 use crate::stage_runner::ReleaseQueue;
+use crate::stop::StopSignal;
 use crate::target_relay;
 use crate::targets::{self, TargetTable};
 
@@ -102,7 +103,7 @@
     pub(crate) durations: LearnedDurations,
     pub(crate) metrics: Metrics,
     pub(crate) odd_objects: OddObjects,
-    pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) stop: StopSignal,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: watch::Sender<bool>,
     /// When the store last answered a watch, by kind of objects.
@@ -173,7 +174,7 @@
             durations: LearnedDurations::default(),
             metrics,
             odd_objects: OddObjects::default(),
-            stopping: watch::Sender::new(false),
+            stop: StopSignal::default(),
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
             store_service: Mutex::default(),
@@ -457,7 +458,7 @@
 
     /// Returns whether the process was asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.stop.has_begun()
     }
 
     /// Returns whether this gateway accepts callers.
@@ -575,5 +576,4 @@
         }
         self.metrics.text()
     }
-
 }
