--- a/crates/marigold/src/bin/marigold-agent.rs
+++ b/crates/marigold/src/bin/marigold-agent.rs
@@ -36,6 +36,6 @@
     signals.wait_for_stop().await;
     tokio::select! {
         () = agent.drain() => Ok(()),
-        () = signals.wait_for_interrupt() => anyhow::bail!("stopped at once by SIGINT; calls cut: {}", agent.in_flight()),
+        () = signals.wait_for_stop() => anyhow::bail!("stopped at once by a second signal; calls cut: {}", agent.in_flight()),
     }
 }
--- a/crates/marigold/src/bin/marigold-entry.rs
+++ b/crates/marigold/src/bin/marigold-entry.rs
@@ -36,6 +36,6 @@
     signals.wait_for_stop().await;
     tokio::select! {
         () = entry.drain() => Ok(()),
-        () = signals.wait_for_interrupt() => anyhow::bail!("stopped at once by SIGINT; requests cut: {}", entry.in_flight()),
+        () = signals.wait_for_stop() => anyhow::bail!("stopped at once by a second signal; requests cut: {}", entry.in_flight()),
     }
 }
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -1,7 +1,7 @@
 //! Signals for a graceful shutdown and for a reload of the settings.
 //!
-//! The binaries drain on the first stop signal. Supervisors may repeat `SIGTERM`, so only `SIGINT` ends a draining process at
-//! once.
+//! The binaries drain on the first stop signal. A second one ends an entry or an agent at once, and a gateway if it is
+//! `SIGINT`: planned stops of gateways may overlap, and repeat `SIGTERM`.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
