Stop: repeatable requests are taken while most of their answers would be complete

A late answer costs a caller that may repeat its request only time, so the estimate covers most answers (one deviation) there, and nearly all of requests that may run once; and only the stages are added to it.

--- a/crates/core/src/response_time.rs
+++ b/crates/core/src/response_time.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-/// Weights of a new sample in the mean and in the deviation, and number of deviations above the mean, as for the
-/// retransmission timeout of TCP (RFC 6298).
+/// Weights of a new sample in the mean and in the deviation, as for the retransmission timeout of TCP (RFC 6298).
 const MEAN_WEIGHT: f64 = 0.125;
 const DEVIATION_WEIGHT: f64 = 0.25;
-const DEVIATIONS: f64 = 4.0;
+/// Number of deviations above the mean that covers most samples, and nearly all.
+const MOST: f64 = 1.0;
+const NEARLY_ALL: f64 = 4.0;
 /// Deviation after the first sample, as a share of it.
 const FIRST_DEVIATION: f64 = 0.25;
 
@@ -33,8 +34,10 @@
         self.mean_s += MEAN_WEIGHT * (sample - self.mean_s);
     }
 
-    /// Returns a time within which nearly all answers are complete.
-    pub fn upper(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s + DEVIATIONS * self.deviation_s)
+    /// Returns a time within which an answer is complete. If a request may be repeated, a late answer costs its caller only
+    /// time, and the estimate covers most answers; else it covers nearly all.
+    pub fn upper(&self, is_repeatable: bool) -> Duration {
+        let deviations = if is_repeatable { MOST } else { NEARLY_ALL };
+        Duration::from_secs_f64(self.mean_s + deviations * self.deviation_s)
     }
 }
--- a/crates/gateway/src/attempts/stopping.rs
+++ b/crates/gateway/src/attempts/stopping.rs
@@ -14,8 +14,7 @@
 impl<D: Dialect, S: Store> Attempts<D, S> {
     /// Estimates the time from sending the request to a target until its answer is complete.
     pub(super) fn response_time(&self) -> Duration {
-        let default = self.route.latency_objective;
-        self.shared.durations.estimate_response(&self.route.name, default)
+        self.shared.durations.estimate_response(&self.route)
     }
 
     /// Records that the answer to a request that was sent at a time is complete.
@@ -32,9 +31,8 @@
         if !self.shared.is_stopping() {
             return Ok(());
         }
-        let estimates = self.stage_runner(self.arrived).estimate_first_event(&self.shared);
-        let first_event = estimates.map_or(Duration::ZERO, |(expected, _)| expected);
-        self.check_time(first_event + self.response_time())
+        let stages = self.stage_runner(self.arrived).estimate_stages(&self.shared);
+        self.check_time(stages + self.response_time())
     }
 
     /// Checks whether a target that is sent the request now would answer before the gateway ends.
--- a/crates/gateway/src/learned_durations.rs
+++ b/crates/gateway/src/learned_durations.rs
@@ -8,7 +8,7 @@
 use marigold_core::duration_estimate::{DurationEstimate, DurationEstimator};
 use marigold_core::ids::{Name, Uptime};
 use marigold_core::response_time::ResponseTime;
-use marigold_core::routes::Routing;
+use marigold_core::routes::{Repeat, Route, Routing};
 use parking_lot::Mutex;
 
 /// Estimators that are updated by the requests of this gateway.
@@ -86,10 +86,13 @@
         }
     }
 
-    /// Estimates the time from sending a request to a target until its answer is complete; nearly all take less. `default`
-    /// applies without samples.
-    pub(crate) fn estimate_response(&self, route: &str, default: Duration) -> Duration {
-        self.responses.lock().get(route).map_or(default, ResponseTime::upper)
+    /// Returns an upper estimate of the time from sending a request to a target until its answer is complete. Without samples
+    /// that is the latency objective.
+    pub(crate) fn estimate_response(&self, route: &Route) -> Duration {
+        let is_repeatable = route.repeat != Repeat::Never;
+        let responses = self.responses.lock();
+        let known = responses.get(&route.name);
+        known.map_or(route.latency_objective, |time| time.upper(is_repeatable))
     }
 
     /// Records the time until an answer was complete.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -192,7 +192,7 @@
         shared.metrics.caller_retries.add(1, &labels);
     }
     let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
-    let response_time = shared.durations.estimate_response(&route.name, route.latency_objective);
+    let response_time = shared.durations.estimate_response(&route);
     let body = tokio::select! {
         biased;
         body = read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory) => body,
--- a/crates/gateway/src/stage_runner.rs
+++ b/crates/gateway/src/stage_runner.rs
@@ -177,6 +177,16 @@
         Some((expected, unloaded))
     }
 
+    /// Estimates the time from arrival to the end of the last stage, at the current load.
+    pub(crate) fn estimate_stages<D: Dialect, S: Store>(&self, shared: &Shared<D, S>) -> Duration {
+        let Some((first_event, _)) = self.estimate_first_event(shared) else {
+            return Duration::ZERO;
+        };
+        let (route, now) = (&self.route.name, boottime::now());
+        let answer = shared.durations.estimate_first_event(route, DEFAULT_FIRST_EVENT_TIME, now);
+        first_event.saturating_sub(answer.mean)
+    }
+
     /// Returns the time from the start of a stage to the first event without queueing.
     fn unloaded_from(&self, stage: usize) -> Duration {
         let after = self.dependents(stage).map(|next| self.unloaded_from(next)).max();
