--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -64,6 +64,7 @@
     /// arrive meanwhile don't start the timer.
     pub(crate) fn on_request(self: &Arc<Self>) -> BusyGuard {
         self.is_busy.store(true, Ordering::Relaxed);
+        self.has_unread_body.store(false, Ordering::Relaxed);
         *self.started.lock() = None;
         BusyGuard(self.clone())
     }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -65,7 +65,7 @@
 /// Retry-After of a request that is refused because the gateway is being stopped. Another one can take it at once.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Marks a response whose request has a body that was not read to its end.
+/// Marks a response whose request may have a body that was not read to its end.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UnreadBody;
 
@@ -117,7 +117,6 @@
         }
         if failure.closes_connection {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-            response.extensions_mut().insert(UnreadBody);
         }
         response
     }
