Stop: only requests that the end of the process would cut are refused

Callers were refused from the signal on although their requests would have ended by their own deadlines before the process, after one slow answer (mean and four deviations of a response time with a long tail is above the stop time most of the time), and on routes without answers and with a long objective. A request in its last stage lost the work of its stages, a stream that broke late in the stop was not resumed, and a request that had run was refused with 503 when its stages failed before its next attempt. The estimate is a share of the latest 64 answers: 95 of 100 for requests that may run once, 75 for others; without answers it is the objective, one second at most. What ends by its own deadline isn't asked. What has begun at a target is retried and resumed while there is time. A request that may have run gets 502 when its stages fail.

--- a/crates/core/src/response_time.rs
+++ b/crates/core/src/response_time.rs
@@ -1,43 +1,36 @@
-//! Upper estimate of the time in which targets answer, from the answers so far.
+//! Upper estimate of the time in which targets answer, from the latest answers.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Weights of a new sample in the mean and in the deviation, as for the retransmission timeout of TCP (RFC 6298).
-const MEAN_WEIGHT: f64 = 0.125;
-const DEVIATION_WEIGHT: f64 = 0.25;
-/// Number of deviations above the mean that covers most samples, and nearly all.
-const MOST: f64 = 1.0;
-const NEARLY_ALL: f64 = 4.0;
-/// Deviation after the first sample, as a share of it.
-const FIRST_DEVIATION: f64 = 0.25;
+/// Number of the latest samples that count. The estimate doesn't age: it is asked when no further samples come.
+const MAX_SAMPLES: usize = 64;
+/// Shares of the samples that the estimate covers.
+const MOST: f64 = 0.75;
+const NEARLY_ALL: f64 = 0.95;
 
-/// Estimator of a response time. Unlike [`crate::duration_estimate::DurationEstimator`] it doesn't age: it is asked when no
-/// further samples come.
-#[derive(Clone, Copy, Debug)]
+/// Estimator of a response time.
+#[derive(Clone, Debug, Default)]
 pub struct ResponseTime {
-    mean_s: f64,
-    deviation_s: f64,
+    samples: VecDeque<Duration>,
 }
 
 impl ResponseTime {
-    /// Creates an estimator from its first sample.
-    pub fn new(sample: Duration) -> Self {
-        let mean_s = sample.as_secs_f64();
-        Self { mean_s, deviation_s: FIRST_DEVIATION * mean_s }
-    }
-
-    /// Updates the estimate with a sample.
+    /// Adds a sample.
     pub fn observe(&mut self, sample: Duration) {
-        let sample = sample.as_secs_f64();
-        let distance = (sample - self.mean_s).abs();
-        self.deviation_s += DEVIATION_WEIGHT * (distance - self.deviation_s);
-        self.mean_s += MEAN_WEIGHT * (sample - self.mean_s);
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
     }
 
-    /// Returns a time within which an answer is complete. If a request may be repeated, a late answer costs its caller only
-    /// time, and the estimate covers most answers; else it covers nearly all.
-    pub fn upper(&self, is_repeatable: bool) -> Duration {
-        let deviations = if is_repeatable { MOST } else { NEARLY_ALL };
-        Duration::from_secs_f64(self.mean_s + deviations * self.deviation_s)
+    /// Returns a time within which an answer is complete; `None` without samples. If a request may be repeated, a late answer
+    /// costs its caller only time, and the estimate covers most answers; else it covers nearly all.
+    pub fn upper(&self, is_repeatable: bool) -> Option<Duration> {
+        let share = if is_repeatable { MOST } else { NEARLY_ALL };
+        let mut samples: Vec<Duration> = self.samples.iter().copied().collect();
+        samples.sort_unstable();
+        let rank = (samples.len() as f64 * share).ceil() as usize;
+        samples.get(rank.saturating_sub(1)).copied()
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -227,13 +227,16 @@
     /// A refusal when a stage fails; the request itself has not run.
     pub(crate) async fn run_stages(&self, since: Uptime) -> Result<Results<D, S>, Failure> {
         self.progress.set_phase(Phase::Stages);
-        let too_late = self.shared.stop.too_late_for(self.response_time());
+        let too_late = self.shared.stop.too_late_for(|| self.time_at_target(), self.deadline);
         let results = tokio::select! {
             biased;
             results = self.stage_runner(since).run(&self.shared) => results,
             () = too_late => return Err(self.stop_failure()),
         };
         results.map_err(|failure| {
+            if self.total_runs() > 0 {
+                return self.no_target_failure();
+            }
             let reason = match failure {
                 PieceFailure::Late => "the stages could not be done in time",
                 PieceFailure::InputGone => "a stage's results were lost",
--- a/crates/gateway/src/attempts/stopping.rs
+++ b/crates/gateway/src/attempts/stopping.rs
@@ -12,8 +12,12 @@
 use crate::response::Failure;
 
 impl<D: Dialect, S: Store> Attempts<D, S> {
-    /// Estimates the time from sending the request to a target until its answer is complete.
-    pub(super) fn response_time(&self) -> Duration {
+    /// Estimates the time from sending the request to a target until its answer is complete. What has begun is retried as long
+    /// as there is time: it cannot be refused any more.
+    pub(super) fn time_at_target(&self) -> Duration {
+        if self.total_runs() > 0 {
+            return Duration::ZERO;
+        }
         self.shared.durations.estimate_response(&self.route)
     }
 
@@ -32,7 +36,7 @@
             return Ok(());
         }
         let stages = self.stage_runner(self.arrived).estimate_stages(&self.shared);
-        self.check_time(stages + self.response_time())
+        self.check_time(stages + self.time_at_target())
     }
 
     /// Checks whether a target that is sent the request now would answer before the gateway ends.
@@ -40,11 +44,12 @@
     /// # Errors
     /// [`Self::stop_failure`].
     pub(super) fn check_sending(&self) -> Result<(), Failure> {
-        self.check_time(self.response_time())
+        self.check_time(self.time_at_target())
     }
 
     fn check_time(&self, duration: Duration) -> Result<(), Failure> {
-        if self.shared.stop.is_too_late_for(duration) { Err(self.stop_failure()) } else { Ok(()) }
+        let is_too_late = self.shared.stop.is_too_late_for(duration, self.deadline);
+        if is_too_late { Err(self.stop_failure()) } else { Ok(()) }
     }
 
     /// Returns the failure of a request that is given up because the gateway ends; a refusal if it has not run.
--- a/crates/gateway/src/learned_durations.rs
+++ b/crates/gateway/src/learned_durations.rs
@@ -11,6 +11,9 @@
 use marigold_core::routes::{Repeat, Route, Routing};
 use parking_lot::Mutex;
 
+/// Upper estimate of the response time of a route that has had no answers, unless its objective is shorter.
+const MAX_UNKNOWN_RESPONSE_TIME: Duration = Duration::from_secs(1);
+
 /// Estimators that are updated by the requests of this gateway.
 #[derive(Default)]
 pub(crate) struct LearnedDurations {
@@ -86,13 +89,12 @@
         }
     }
 
-    /// Returns an upper estimate of the time from sending a request to a target until its answer is complete. Without samples
-    /// that is the latency objective.
+    /// Returns an upper estimate of the time from sending a request to a target until its answer is complete.
     pub(crate) fn estimate_response(&self, route: &Route) -> Duration {
         let is_repeatable = route.repeat != Repeat::Never;
         let responses = self.responses.lock();
-        let known = responses.get(&route.name);
-        known.map_or(route.latency_objective, |time| time.upper(is_repeatable))
+        let known = responses.get(&route.name).and_then(|time| time.upper(is_repeatable));
+        known.unwrap_or(route.latency_objective.min(MAX_UNKNOWN_RESPONSE_TIME))
     }
 
     /// Records the time until an answer was complete.
@@ -101,7 +103,7 @@
         if let Some(estimator) = responses.get_mut(route) {
             estimator.observe(sample);
         } else {
-            responses.insert(route.to_owned(), ResponseTime::new(sample));
+            responses.entry(route.to_owned()).or_default().observe(sample);
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,7 +26,7 @@
 use crate::in_progress::{Phase, Progress};
 use crate::memory::{Denied, Hold, Memory};
 use crate::relay::{self, EventStream, StreamItem};
-use crate::response::{self, Body, Failure};
+use crate::response::{self, Body, Failure, UnreadBody};
 use crate::shared::{AdoptedConfig, Shared};
 use crate::upstream;
 
@@ -129,12 +129,19 @@
     let arrived = boottime::now();
     let mut guard = RequestGuard::new(shared, arrived);
     let (parts, body) = req.into_parts();
+    let has_body = !http_body::Body::is_end_stream(&body);
     // HTTP parsers disagree on requests that have both a length and chunked encoding, so no further request is read
     // from a connection after a chunked body.
     let closes_connection = parts.headers.contains_key(header::TRANSFER_ENCODING);
     let response = match prepare(shared, &parts, body, &mut guard).await {
         Ok(attempts) => respond(attempts, guard).await,
-        Err(failure) => failure_response(&failure, guard),
+        Err(failure) => {
+            let mut response = failure_response(&failure, guard);
+            if has_body {
+                response.extensions_mut().insert(UnreadBody);
+            }
+            response
+        }
     };
     let mut response = response;
     if closes_connection || shared.is_stopping() {
@@ -192,11 +199,12 @@
         shared.metrics.caller_retries.add(1, &labels);
     }
     let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
-    let response_time = shared.durations.estimate_response(&route);
+    let response_time = || shared.durations.estimate_response(&route);
+    let too_late = shared.stop.too_late_for(response_time, deadline);
     let body = tokio::select! {
         biased;
         body = read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory) => body,
-        () = shared.stop.too_late_for(response_time) => Err(Failure::stopping().closing_connection()),
+        () = too_late => Err(Failure::stopping().closing_connection()),
     }?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
