Stop: requests get their answers after a pause of the process

One more interval passes now after the process has seen that its time is over. 'stopped' tells the connections that are left.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -149,12 +149,16 @@
         );
         time::sleep(DRAIN_DELAY.min(stop.slack(Duration::ZERO, started))).await;
         self.close.send_replace(true);
-        while !self.callers.has_ended() && boottime::now() < stop.exit_by {
+        let mut is_time_over = false;
+        while !self.callers.has_ended() && !is_time_over {
+            // After a pause of the process, requests get their answers during one more interval.
+            is_time_over = boottime::now() >= stop.exit_by;
             time::sleep(POLL_INTERVAL).await;
         }
         let now = boottime::now();
         self.shared.in_progress.log_cut(now);
         let took = now.saturating_sub(started);
-        tracing::info!(in_flight = self.in_flight(), ?took, "stopped");
+        let connections = self.shared.connections.len();
+        tracing::info!(in_flight = self.in_flight(), connections, ?took, "stopped");
     }
 }
