Drain: wait for the stages that run for other gateways

What callers saw: with a call of pieces that outlasted the drain delay, a request at another gateway lost the stage that its owner ran, and was refused with 503 once the stage could not run again before the deadline.

Cause: a stopping gateway waited for the connections of its own callers only. Without callers it exited 2.6 s after the signal, whatever it ran for peers; these ran the stage again elsewhere, and the results that were made were never used.

The gateway now counts the stages that it runs for peers, and exits when there are none, within the same stop time. It waits one poll interval longer, so that the last replies and calls that free results leave its sockets.

The stand-in target gets limits for calls of pieces: calls that wait, results that it holds, and a longer duration.

--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -165,6 +165,17 @@
 pub(crate) struct Batcher {
     pools: Mutex<HashMap<Name, PoolState>>,
     next_job_number: AtomicU64,
+    /// Number of stages that run for peers.
+    peer_stages: AtomicUsize,
+}
+
+/// A stage that runs for a peer; it counts until this is dropped.
+pub(crate) struct PeerStage<'a>(&'a Batcher);
+
+impl Drop for PeerStage<'_> {
+    fn drop(&mut self) {
+        self.0.peer_stages.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Batcher {
@@ -172,6 +183,16 @@
     pub(crate) fn queued_count(&self) -> usize {
         self.pools.lock().values().map(|state| state.queue.len()).sum()
     }
+
+    pub(crate) fn start_peer_stage(&self) -> PeerStage<'_> {
+        self.peer_stages.fetch_add(1, Ordering::Relaxed);
+        PeerStage(self)
+    }
+
+    /// Returns whether stages run for peers.
+    pub(crate) fn has_peer_stages(&self) -> bool {
+        self.peer_stages.load(Ordering::Relaxed) > 0
+    }
 }
 
 fn stage_pool<D: Dialect, S>(shared: &Shared<D, S>, pool: &str) -> Option<StagePool> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -135,7 +135,7 @@
     }
 
     /// Reports the gateway as not ready, then closes its HTTP ports and waits until the requests in progress have been
-    /// answered or the stop time has passed.
+    /// answered and the stages that run for peers are done, or the stop time has passed.
     pub async fn drain(&self) {
         let timeout =
             Duration::from_secs(u64::from(self.shared.settings().stop_s.get())) - CLOSE_MARGIN;
@@ -144,9 +144,12 @@
         tracing::info!(in_flight = self.in_flight(), stop = ?timeout, "stopping; reporting not ready");
         time::sleep(DRAIN_DELAY.min(timeout)).await;
         self.close.send_replace(true);
-        while !self.callers.has_ended() && started.elapsed() < timeout {
+        let has_work = || !self.callers.has_ended() || self.shared.batcher.has_peer_stages();
+        while has_work() && started.elapsed() < timeout {
             time::sleep(POLL_INTERVAL).await;
         }
+        // The last replies to peers and calls that free results may still be on their way.
+        time::sleep(POLL_INTERVAL).await;
         tracing::info!(in_flight = self.in_flight(), took = ?started.elapsed(), "stopped");
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -372,6 +372,7 @@
                 replies.send(&Reply::Refused("the gateway is being stopped".to_owned())).await?;
             }
             Request::RunStage(req) => {
+                let _running = shared.batcher.start_peer_stage();
                 let stage = batcher::run(shared, req);
                 tokio::pin!(stage);
                 let done = loop {
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -189,6 +189,16 @@
     /// Number of connections that were accepted.
     connections: AtomicUsize,
     open_connections: AtomicUsize,
+    /// Limits of the calls of pieces.
+    call_limits: Mutex<CallLimits>,
+    /// Number of calls of pieces that run or wait.
+    stage_calls: AtomicUsize,
+    /// When the results that have not been freed were made, by handle.
+    held: Mutex<HashMap<String, Instant>>,
+    /// Number of pieces that found no room for their results.
+    pieces_without_room: AtomicUsize,
+    /// Number of calls of pieces that were refused because too many others waited.
+    busy_calls: AtomicUsize,
     completed: Mutex<HashMap<String, CompletedPiece>>,
     /// Completed pieces whose results were freed.
     freed: Mutex<HashMap<String, CompletedPiece>>,
@@ -200,11 +210,45 @@
     fn free(&self, handles: &[Value]) {
         let (mut completed, mut freed) = (self.completed.lock(), self.freed.lock());
         for handle in handles.iter().filter_map(Value::as_str) {
+            self.held.lock().remove(handle);
             freed.extend(completed.remove(handle).map(|piece| (handle.to_owned(), piece)));
         }
     }
 }
 
+/// Limits of the calls of pieces at a replica.
+#[derive(Clone, Debug)]
+pub struct CallLimits {
+    /// Number of calls that run or wait; others are refused with status 503.
+    pub calls: usize,
+    /// Number of results for which there is room.
+    pub results: usize,
+    /// Time after which results expire that were not freed.
+    pub retention: Duration,
+    /// Duration of a call, in addition to that of the options.
+    pub extra_duration: Duration,
+}
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        Self {
+            calls: usize::MAX,
+            results: usize::MAX,
+            retention: Duration::MAX,
+            extra_duration: Duration::ZERO,
+        }
+    }
+}
+
+impl State {
+    /// Returns how many more results there is room for.
+    fn room(&self, limits: &CallLimits) -> usize {
+        let mut held = self.held.lock();
+        held.retain(|_, made_at| made_at.elapsed() < limits.retention);
+        limits.results.saturating_sub(held.len())
+    }
+}
+
 /// A running replica; dropping it stops the replica.
 pub struct Replica {
     /// Configuration of the replica.
@@ -307,6 +351,21 @@
         self.state.full_calls.store(count, Ordering::SeqCst);
     }
 
+    /// Limits the calls of pieces from now on.
+    pub fn set_call_limits(&self, limits: CallLimits) {
+        *self.state.call_limits.lock() = limits;
+    }
+
+    /// Returns the number of pieces that found no room for their results.
+    pub fn pieces_without_room(&self) -> usize {
+        self.state.pieces_without_room.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of calls of pieces that were refused because too many others waited.
+    pub fn busy_calls(&self) -> usize {
+        self.state.busy_calls.load(Ordering::SeqCst)
+    }
+
     /// Names a limit, in requests a second, in all replies from now on; `None` ends it.
     pub fn set_limit(&self, limit: Option<&str>) {
         *self.state.limit.lock() = limit.map(str::to_owned);
@@ -524,17 +583,27 @@
     }
 
     async fn run_pieces(&mut self, run: &Run) -> std::io::Result<()> {
+        let limits = self.state.call_limits.lock().clone();
+        let state = self.state.clone();
+        let calls = state.stage_calls.fetch_add(1, Ordering::SeqCst);
+        let _running = CountGuard(&state.stage_calls);
+        if calls >= limits.calls {
+            state.busy_calls.fetch_add(1, Ordering::SeqCst);
+            return self.respond(503, &[("Not-Executed", "1")], b"").await;
+        }
         let stage_call_lock = self.stage_call_lock.clone();
         let _guard = stage_call_lock.lock().await;
+        let mut room = self.state.room(&limits);
         let body: Value = serde_json::from_slice(&run.body).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
         self.state.stage_call_sizes.lock().push(items.len());
-        time::sleep(self.options.stage_call_duration).await;
+        time::sleep(self.options.stage_call_duration + limits.extra_duration).await;
         let decrement = |count: usize| count.checked_sub(1);
         let order = Ordering::SeqCst;
         let is_full = self.state.full_calls.fetch_update(order, order, decrement).is_ok();
-        let complete = |item: &Value| {
-            if is_full {
+        let mut complete = |item: &Value| {
+            if is_full || room == 0 {
+                state.pieces_without_room.fetch_add(1, order);
                 return json!({ "reason": "room" });
             }
             let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
@@ -544,10 +613,13 @@
                 inputs: inputs.iter().filter_map(Value::as_str).map(str::to_owned).collect(),
             };
             let handle = format!("{}/{:016x}", self.addr, rand::random::<u64>());
+            room -= 1;
+            self.state.held.lock().insert(handle.clone(), Instant::now());
             self.state.completed.lock().insert(handle.clone(), piece);
             json!({ "handle": handle })
         };
-        let reply = json!({ "items": items.iter().map(complete).collect::<Vec<_>>() }).to_string();
+        let reply =
+            json!({ "items": items.iter().map(&mut complete).collect::<Vec<_>>() }).to_string();
         self.respond_to_call(reply).await
     }
 
