Stages: refuse those of peers until the targets are known

What callers saw: after a gateway was restarted, requests with stages at the others were refused with 503 "a stage's targets are overloaded": a single one in a rolling restart, nearly all of them while the started gateway could not reach the store.

Cause: a gateway owns pools again as soon as it answers a poll, if too few others are settled. Until it had the targets and the configuration, it answered stages of peers as those of a pool without targets, and that answer was final.

It now refuses such a stage, as one that is being stopped does, and the peer runs it at the next owner.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -371,6 +371,10 @@
             Request::RunStage(_) if shared.is_stopping() => {
                 replies.send(&Reply::Refused("the gateway is being stopped".to_owned())).await?;
             }
+            // A gateway that has just started would refuse the stage as one whose pool has no targets.
+            Request::RunStage(_) if !shared.knows_pools() => {
+                replies.send(&Reply::Refused("the gateway is starting".to_owned())).await?;
+            }
             Request::RunStage(req) => {
                 let _running = shared.batcher.start_peer_stage();
                 let stage = batcher::run(shared, req);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -458,11 +458,15 @@
         *self.stopping.borrow()
     }
 
+    /// Returns whether this gateway knows the targets and the pools that they are in.
+    pub(crate) fn knows_pools(&self) -> bool {
+        *self.has_targets.borrow() && self.adopted.load().is_some()
+    }
+
     /// Returns whether this gateway accepts callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && *self.has_targets.borrow()
-            && self.adopted.load().is_some()
+            && self.knows_pools()
             && self.knows_quarantines()
             && self.knows_evacuations()
             && self.confidence(boottime::now()).can_accept_keys
