Ownership: a gateway that is being stopped hands over its pools

What callers saw: after SIGTERM at the owner of a pool, 503 "a stage's targets are overloaded" and "a stage failed", while the targets had enough capacity for all requests.

Cause: a stopping gateway remained its own owner and went on to call the targets for its own requests until its exit, while the others had moved the pool to the next owner. Each of the two counted only its own results, so that together they filled the memory of the targets. The others learned of the stop by a poll or by a refusal, and the refusal counted as a failure of the gateway.

Stages in calls are finished where they are. So there is one caller of the targets at a time, but for the calls in progress, and no work is done twice. A refusal doesn't count as a failure. The times of a stage that is sent once more are reduced by the time since it was first sent; no test covers this alone. The same holds for owners of target limits and of quarantines.

--- a/crates/core/src/stage_queue.rs
+++ b/crates/core/src/stage_queue.rs
@@ -3,7 +3,7 @@
 //! The fixed cost of a call is far higher than the cost of a piece, so the owner of a pool collects all pieces for it.
 //! When a target becomes free, a call carries as many queued pieces as the batch size allows.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::ids::{Name, Uptime};
@@ -130,6 +130,17 @@
         self.waiting.retain(|piece| !is_obsolete(&piece.ticket));
     }
 
+    /// Dequeues the groups of which no piece has left the queue; `group_len` returns the number of pieces in the group of one.
+    pub fn dequeue_whole_groups(&mut self, group_len: impl Fn(&T) -> usize) -> Vec<QueuedPiece<T>> {
+        let mut queued: HashMap<u64, usize> = HashMap::new();
+        for piece in &self.waiting {
+            *queued.entry(piece.group).or_default() += 1;
+        }
+        let is_whole =
+            |piece: &mut QueuedPiece<T>| queued[&piece.group] == group_len(&piece.ticket);
+        self.waiting.extract_if(.., is_whole).collect()
+    }
+
     /// Dequeues the pieces that can't be served.
     ///
     /// These are the pieces whose call would end after the deadline, given the queue ahead, and late pieces without
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -170,3 +170,14 @@
         queue([piece(1, 1_100, 0), QueuedPiece { has_inputs: true, ..piece(2, 1_150, 0) }]);
     assert_eq!(dequeue(&mut queue, 1_000, "north", 1, 100), [2]);
 }
+
+/// A stage of which some pieces were already sent would run twice if its others were moved to another gateway.
+#[test]
+fn dequeue_whole_groups_keeps_groups_with_pieces_in_calls() {
+    let pieces =
+        [(1, 2), (2, 3), (3, 1)].map(|(group, queued)| vec![piece(group, 2_000, 1); queued]);
+    let mut queue = queue(pieces.into_iter().flatten());
+    let whole = queue.dequeue_whole_groups(|_| 3);
+    assert_eq!(whole.iter().map(|piece| piece.group).collect::<Vec<_>>(), [2, 2, 2]);
+    assert_eq!(queue.len(), 3);
+}
--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -24,6 +24,7 @@
 use crate::announcements;
 use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult, ReplyHead};
 use crate::limits::{self, Demand};
+use crate::members::Owner;
 use crate::shared::Shared;
 use crate::stage_connections::{self, Peer, Purpose, Reply, Timeouts};
 use crate::targets::TrackedTarget;
@@ -79,6 +80,8 @@
     remaining: usize,
     first_result_at: Option<Uptime>,
     failure: Option<PieceFailure>,
+    /// Whether the job was returned without having run any of it.
+    is_returned: bool,
 }
 
 impl Job {
@@ -103,6 +106,15 @@
         self.finished.notify_one();
     }
 
+    fn return_unrun(&self) {
+        self.state.lock().is_returned = true;
+        self.finished.notify_one();
+    }
+
+    fn is_returned(&self) -> bool {
+        self.state.lock().is_returned
+    }
+
     fn outcome(&self, now: Uptime) -> Option<StageDone> {
         let state = self.state.lock();
         if state.failure.is_none() && state.remaining > 0 {
@@ -199,18 +211,19 @@
     shared.adopted.load().as_ref()?.routing.pools.get(pool)?.stage.clone()
 }
 
-/// Runs a stage. Dropping the future cancels the pieces that have not been sent.
+/// Runs a stage; returns `None` if this gateway is being stopped and has not begun it. Dropping the future cancels the pieces
+/// that have not been sent.
 pub(crate) async fn run<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     req: RunStage,
-) -> StageDone {
+) -> Option<StageDone> {
     let now = boottime::now();
     if req.pieces > MAX_PIECES
         || shared.targets.in_pool(&req.pool).is_empty()
         || stage_pool(shared, &req.pool).is_none()
     {
         let failure = Some(PieceFailure::Overloaded);
-        return StageDone { handles: Vec::new(), age_ms: 0, failure };
+        return Some(StageDone { handles: Vec::new(), age_ms: 0, failure });
     }
     let due = if req.due_ms >= 0 {
         now + Duration::from_millis(req.due_ms as u64)
@@ -229,6 +242,7 @@
             remaining: pieces as usize,
             first_result_at: None,
             failure: None,
+            is_returned: false,
         }),
         finished: Notify::new(),
         is_cancelled: AtomicBool::new(false),
@@ -246,13 +260,30 @@
     }
     dispatch(shared, &pool);
     loop {
-        if let Some(done) = job.outcome(boottime::now()) {
+        let done = job.outcome(boottime::now());
+        if done.is_some() || job.is_returned() {
             return done;
         }
         job.finished.notified().await;
     }
 }
 
+/// Returns the queued stages of pools that other gateways own now, as far as none of their pieces has been sent. The others are
+/// finished here, since their results would be lost.
+pub(crate) fn hand_over<D: Dialect, S>(shared: &Shared<D, S>) {
+    let mut pools = shared.batcher.pools.lock();
+    for (pool, state) in pools.iter_mut() {
+        if matches!(shared.members.owner(pool), Owner::Local) {
+            continue;
+        }
+        let pieces = state.queue.dequeue_whole_groups(|ticket| ticket.job.req.pieces as usize);
+        tracing::info!(pool, pieces = pieces.len(), kept = state.queue.len(), "pool handed over");
+        for piece in pieces {
+            piece.ticket.job.return_unrun();
+        }
+    }
+}
+
 fn queued_piece(ticket: Ticket) -> QueuedPiece<Ticket> {
     let job = &ticket.job;
     QueuedPiece {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -141,6 +141,7 @@
             Duration::from_secs(u64::from(self.shared.settings().stop_s.get())) - CLOSE_MARGIN;
         let started = time::Instant::now();
         self.shared.stopping.send_replace(true);
+        peers::leave(&self.shared);
         tracing::info!(in_flight = self.in_flight(), stop = ?timeout, "stopping; reporting not ready");
         time::sleep(DRAIN_DELAY.min(timeout)).await;
         self.close.send_replace(true);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -45,6 +45,7 @@
     missed_polls: u32,
     /// When it was found to be unresponsive.
     silent_since: Option<Uptime>,
+    /// Whether it is being stopped, or refuses stages.
     is_leaving: bool,
     is_settled: bool,
     /// Whether it has ever answered; until then `is_settled` comes from its entry in the store.
@@ -81,6 +82,8 @@
     others: BTreeMap<Name, Member>,
     pools: Vec<Name>,
     is_settled: bool,
+    /// Whether this gateway is being stopped.
+    is_leaving: bool,
 }
 
 /// The membership: this gateway and all others that it knows.
@@ -206,6 +209,28 @@
         is_silent
     }
 
+    /// Marks this gateway as being stopped, so that it owns nothing while others are alive.
+    pub(crate) fn leave(&self) {
+        let mut state = self.state.lock();
+        state.is_leaving = true;
+        self.reassign_pools(&state);
+    }
+
+    /// Records that a gateway said that it is being stopped, so that its pools move to other owners at once. Its next facts
+    /// replace this.
+    pub(crate) fn on_leaving(&self, name: &str, incarnation: Incarnation) {
+        self.update(name, "gateway is being stopped", |member| {
+            member.is_leaving |= member.incarnation == incarnation;
+        });
+    }
+
+    /// Marks a gateway that refused a stage, as one does that is being stopped or has just started. Its next facts replace this.
+    pub(crate) fn on_stage_refusal(&self, member: &Member) {
+        self.update(&member.name, "gateway refused a stage", |known| {
+            known.is_leaving |= known.incarnation == member.incarnation;
+        });
+    }
+
     /// Marks a gateway as unresponsive because it failed to run a stage, so that its pools move to other owners at
     /// once.
     pub(crate) fn on_stage_failure(&self, name: &str) {
@@ -249,8 +274,17 @@
         others.map(Member::candidate).chain([Candidate { name, weight, is_settled }]).collect()
     }
 
+    /// Returns the gateways that may own something. Others leave out a gateway that is being stopped, so it leaves itself out too.
+    fn owner_candidates(&self, state: &State) -> Vec<Candidate> {
+        let mut candidates = self.candidates(state, Member::is_alive);
+        if state.is_leaving && candidates.len() > 1 {
+            candidates.retain(|candidate| candidate.name != self.name);
+        }
+        candidates
+    }
+
     fn reassign_pools(&self, state: &State) {
-        let owners = ownership::owners(&state.pools, &self.candidates(state, Member::is_alive));
+        let owners = ownership::owners(&state.pools, &self.owner_candidates(state));
         let remote = owners
             .into_iter()
             .filter_map(|(pool, owner)| Some((pool, state.others.get(owner.as_str())?.clone())));
@@ -264,7 +298,8 @@
         let state = self.state.lock();
         let all = self.candidates(&state, |_| true);
         let alive = self.candidates(&state, Member::is_alive);
-        let owners = [&all, &alive]
+        let may_own = self.owner_candidates(&state);
+        let owners = [&all, &may_own]
             .into_iter()
             .flat_map(|candidates| ownership::owners(&state.pools, candidates).into_values());
         let probability = ownership::owner_poll_probability(alive.len());
@@ -279,7 +314,8 @@
             .collect();
         for (target, pool) in limited_targets.iter().take(MAX_LIMITS_POLLED) {
             if !state.pools.contains(pool) {
-                let owners = [&all, &alive].map(|members| ownership::limit_owner(target, members));
+                let owners =
+                    [&all, &may_own].map(|members| ownership::limit_owner(target, members));
                 names.extend(owners.into_iter().flatten());
             }
         }
@@ -345,8 +381,7 @@
             drop(state);
             return self.owner(&target.pool);
         }
-        let alive = self.candidates(&state, Member::is_alive);
-        let owner = ownership::limit_owner(&target.id, &alive);
+        let owner = ownership::limit_owner(&target.id, &self.owner_candidates(&state));
         let member = owner.and_then(|owner| state.others.get(&owner).cloned());
         member.map_or(Owner::Local, Owner::Remote)
     }
@@ -367,8 +402,8 @@
     pub(crate) fn quarantine_owner(&self, (pool, suspects): &quarantine::Key) -> Owner {
         let names: Vec<&str> = [pool].into_iter().chain(suspects).map(String::as_str).collect();
         let state = self.state.lock();
-        let alive = self.candidates(&state, Member::is_alive);
-        let owner = ownership::limit_owner(&names.join("\n"), &alive);
+        let candidates = self.owner_candidates(&state);
+        let owner = ownership::limit_owner(&names.join("\n"), &candidates);
         let member = owner.and_then(|owner| state.others.get(&owner).cloned());
         member.map_or(Owner::Local, Owner::Remote)
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::StreamExt as _;
+use futures::stream;
 use marigold_core::ids::Uptime;
 use marigold_core::load_reports::InFlight;
 use marigold_core::store_service::Period;
@@ -39,6 +41,12 @@
 /// Number of owners that are tried for a stage, one after the other. If none answers, this gateway is likely to be
 /// partitioned and runs the stage itself.
 const MAX_OWNERS_TRIED: usize = 2;
+/// Number of owners that may refuse a stage, as they are being stopped or have just started, before this gateway runs it itself.
+const MAX_OWNERS_REFUSING: usize = 4;
+/// Number of gateways that are told at a time that this one is being stopped.
+const MAX_TOLD: usize = 32;
+/// Reason for which a stopping gateway refuses stages, and returns those that it has not begun.
+const STOPPING: &str = "the gateway is being stopped";
 /// Time in which a gateway reads a newer configuration from a store that it reaches, including the age from which it does
 /// so itself.
 const STORE_READ_TIME: Duration = Duration::from_millis(2_500);
@@ -50,13 +58,28 @@
     shared: &Arc<Shared<D, S>>,
     req: RunStage,
 ) -> StageDone {
-    for _ in 0..MAX_OWNERS_TRIED {
-        let member = match shared.members.owner(&req.pool) {
-            Owner::Local => return batcher::run(shared, req).await,
+    let started = boottime::now();
+    let (mut failed, mut refused) = (0, 0);
+    loop {
+        let req = after_wait(&req, boottime::now().saturating_sub(started));
+        let owner = if failed < MAX_OWNERS_TRIED && refused < MAX_OWNERS_REFUSING {
+            shared.members.owner(&req.pool)
+        } else {
+            Owner::Local
+        };
+        let member = match owner {
+            Owner::Local => match batcher::run(shared, req).await {
+                Some(done) => return done,
+                None => continue,
+            },
             Owner::Remote(member) => member,
         };
         match run_on(&member, &req).await {
-            Ok(done) => return done,
+            Ok(Some(done)) => return done,
+            Ok(None) => {
+                shared.members.on_stage_refusal(&member);
+                refused += 1;
+            }
             Err(err) => {
                 tracing::warn!(
                     request = req.request,
@@ -66,13 +89,24 @@
                     "pool owner failed to run the stage"
                 );
                 shared.members.on_stage_failure(&member.name);
+                failed += 1;
             }
         }
     }
-    batcher::run(shared, req).await
 }
 
-async fn run_on(member: &Member, req: &RunStage) -> Result<StageDone, String> {
+/// Returns a stage as it is after it has waited, since its times count from when it is sent.
+fn after_wait(req: &RunStage, waited: Duration) -> RunStage {
+    let waited_ms = waited.as_millis() as u64;
+    RunStage {
+        left_ms: req.left_ms.saturating_sub(waited_ms),
+        due_ms: req.due_ms.saturating_sub_unsigned(waited_ms),
+        ..req.clone()
+    }
+}
+
+/// Runs a stage on another gateway; returns `None` if that one refuses it and has not run any of it.
+async fn run_on(member: &Member, req: &RunStage) -> Result<Option<StageDone>, String> {
     let req = Request::RunStage(req.clone());
     let (_, mut replies) = time::timeout(REPLY_TIMEOUT, member.peer.stream(&req))
         .await
@@ -82,12 +116,38 @@
     loop {
         match replies.next(timeout).await.map_err(|err| err.to_string())? {
             Some(Reply::Queued(_)) => timeout = HEARTBEAT_TIMEOUT,
-            Some(Reply::StageDone(done)) => return Ok(done),
+            Some(Reply::StageDone(done)) => return Ok(Some(done)),
+            Some(Reply::Refused(reason)) => {
+                tracing::info!(member = member.name, reason, "stage refused");
+                return Ok(None);
+            }
             reply => return Err(format!("unexpected reply {reply:?}")),
         }
     }
 }
 
+/// Moves all that this gateway owns to others when it is being stopped: tells them, and returns the stages that it has not
+/// begun.
+pub(crate) fn leave<D: Dialect, S: Store>(shared: &Arc<Shared<D, S>>) {
+    shared.members.leave();
+    batcher::hand_over(shared);
+    tokio::spawn(announce_stop(shared.clone()));
+}
+
+async fn announce_stop<D: Dialect, S: Store>(shared: Arc<Shared<D, S>>) {
+    let members = shared.members.others().into_iter().filter(Member::is_alive);
+    let told = members.map(|member| {
+        let req = Request::Facts(shared.facts());
+        async move {
+            if let Err(err) = exchange(&member, &req, REPLY_TIMEOUT).await {
+                // It learns of the stop when it polls this gateway or sends it a stage.
+                tracing::debug!(member = member.name, err, "gateway not told of the stop");
+            }
+        }
+    });
+    stream::iter(told).for_each_concurrent(MAX_TOLD, |told| told).await;
+}
+
 /// Frees results through the owner of their pool.
 pub(crate) async fn release<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
@@ -369,7 +429,7 @@
         let PeerHandler(shared) = self;
         match req {
             Request::RunStage(_) if shared.is_stopping() => {
-                replies.send(&Reply::Refused("the gateway is being stopped".to_owned())).await?;
+                replies.send(&Reply::Refused(STOPPING.to_owned())).await?;
             }
             // A gateway that has just started would refuse the stage as one whose pool has no targets.
             Request::RunStage(_) if !shared.knows_pools() => {
@@ -388,7 +448,11 @@
                         () = time::sleep(HEARTBEAT_INTERVAL) => {}
                     }
                 };
-                replies.send(&Reply::StageDone(done)).await?;
+                let reply = match done {
+                    Some(done) => Reply::StageDone(done),
+                    None => Reply::Refused(STOPPING.to_owned()),
+                };
+                replies.send(&reply).await?;
             }
             Request::Release(StageRelease { pool, handles }) => {
                 batcher::release(shared, &pool, handles);
@@ -400,7 +464,10 @@
                 let earliest = now.saturating_sub(REPLY_TIMEOUT);
                 let has_load = !facts.in_flight.is_empty();
                 shared.load.record(facts.name.clone(), facts.in_flight, now);
-                shared.members.put(facts.name, &facts.entry);
+                shared.members.put(facts.name.clone(), &facts.entry);
+                if facts.leaving {
+                    shared.members.on_leaving(&facts.name, facts.entry.incarnation);
+                }
                 limits::merge_changed(shared, facts.limits, earliest);
                 discovery::merge_evacuations(shared, facts.evacuations.as_ref(), earliest);
                 let total_in_flight = if has_load { shared.total_in_flight() } else { Vec::new() };
