--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -134,12 +134,14 @@
     }
 
     /// Reports the gateway as not ready, then closes its HTTP ports and waits until the requests in progress have been
-    /// answered. Those that cannot be done within the stop time are given up before its end.
+    /// answered and the stages that run for peers are done. Requests that cannot be done within the stop time are given up
+    /// before its end.
     pub async fn drain(&self) {
         let stop_time = Duration::from_secs(u64::from(self.shared.settings().stop_s.get()));
         let started = boottime::now();
         let stop = Stop::begin(started, stop_time);
         self.shared.stop.begin(stop);
+        peers::leave(&self.shared);
         let waiting = self.shared.in_progress.summary();
         tracing::info!(
             in_flight = self.in_flight(),
@@ -149,12 +151,13 @@
         );
         time::sleep(DRAIN_DELAY.min(stop.slack(Duration::ZERO, started))).await;
         self.close.send_replace(true);
-        let mut is_time_over = false;
-        while !self.callers.has_ended() && !is_time_over {
-            // After a pause of the process, requests get their answers during one more interval.
-            is_time_over = boottime::now() >= stop.exit_by;
+        let has_work = || !self.callers.has_ended() || self.shared.batcher.has_peer_stages();
+        while has_work() && boottime::now() < stop.exit_by {
             time::sleep(POLL_INTERVAL).await;
         }
+        // The last replies to peers and calls that free results may still be on their way, and after a pause of the process
+        // requests get their answers now.
+        time::sleep(POLL_INTERVAL).await;
         let now = boottime::now();
         self.shared.in_progress.log_cut(now);
         let took = now.saturating_sub(started);
