Bound interim replies and the bytes before the head of a reply

What callers saw: eight requests to a target that answers with interim replies (status 100) without end kept the whole process busy. Requests to other targets were not served, and the eight got their answer 20 s after their deadline.

Cause: the HTTP parser reads interim replies as long as there are any, up to megabytes in one poll, and only the deadline of the request bounded them; its timer does not fire while the parser runs.

A connection now reads at most 64 KB times four between a request and the head of its reply, and at most 16 interim replies. This holds for requests, calls of pieces, releases and the store, since all use the same connection.

The stand-in `endless` sends replies without end.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,7 +4,12 @@
 //! for its response, an unresponsive target is detected when the connection is opened, and closing the connection cancels the
 //! request. Connections to the store and those of stage calls (`stage_connections`) are reused.
 
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{self, Instant};
@@ -24,6 +30,13 @@
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the head of a reply, and of the buffer of a connection, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes until the head of a reply is complete: interim replies, the head, and the part of the body that is read
+/// with it. The parser reads interim replies as long as there are any.
+const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
+/// Maximum number of interim replies to a request.
+const MAX_INTERIM_REPLIES: usize = 16;
+/// Value of the number of bytes that may be read when it is not limited.
+const UNLIMITED: usize = usize::MAX;
 /// Time without an answer after which the kernel probes a connection, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the kernel closes a connection.
@@ -63,10 +76,75 @@
     },
 }
 
+/// Stream of which a limited number of bytes is read before the head of a reply is complete.
+struct HeadLimited {
+    inner: TcpStream,
+    remaining: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for HeadLimited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.remaining.load(Ordering::Relaxed) == 0 {
+            let reason = format!(
+                "no final reply after {MAX_INTERIM_REPLIES} interim ones, or within {MAX_BYTES_BEFORE_HEAD} bytes"
+            );
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        use_up(&self.remaining, buf.filled().len() - filled);
+        polled
+    }
+}
+
+/// Reduces the number of bytes that may be read before the head of a reply is complete.
+fn use_up(remaining: &AtomicUsize, bytes: usize) {
+    let subtract =
+        |remaining: usize| (remaining != UNLIMITED).then(|| remaining.saturating_sub(bytes));
+    // Fails only where there is no limit.
+    let _ = remaining.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+}
+
+impl AsyncWrite for HeadLimited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
 /// An open connection; dropping it closes it.
 pub struct Connection {
     peer: SocketAddr,
     local: SocketAddr,
+    /// Number of bytes that may be read before the head of the reply is complete.
+    remaining: Arc<AtomicUsize>,
     send: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -102,9 +180,11 @@
             .map_err(|err| not_sent(err.to_string()))?;
         configure_socket(&stream).map_err(|err| not_sent(err.to_string()))?;
         let local = stream.local_addr().map_err(|err| not_sent(err.to_string()))?;
+        let remaining = Arc::new(AtomicUsize::new(MAX_BYTES_BEFORE_HEAD));
+        let limited = HeadLimited { inner: stream, remaining: remaining.clone() };
         let (send, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(limited))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         let task = tokio::spawn(async move {
@@ -112,7 +192,7 @@
                 tracing::debug!(%peer, %err, "connection to a target ended");
             }
         });
-        Ok(Self { peer, local, send, task: task.abort_handle() })
+        Ok(Self { peer, local, remaining, send, task: task.abort_handle() })
     }
 
     /// Returns whether another request can be sent.
@@ -125,9 +205,15 @@
     ///
     /// # Errors
     /// [`Error::MaybeSent`] when the connection fails before the head of the reply.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send(&mut self, mut req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         let peer = self.peer;
+        self.remaining.store(MAX_BYTES_BEFORE_HEAD, Ordering::Relaxed);
+        let remaining = self.remaining.clone();
+        hyper::ext::on_informational(&mut req, move |_| {
+            use_up(&remaining, MAX_BYTES_BEFORE_HEAD / MAX_INTERIM_REPLIES);
+        });
         let response = self.send.send_request(req).await;
+        self.remaining.store(UNLIMITED, Ordering::Relaxed);
         response.map_err(|err| Error::MaybeSent { peer, reason: error_chain(&err) })
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each counts what it ran, so that tests detect lost, duplicate and mixed-up results.
 
+pub mod endless;
 pub mod engine;
 pub mod platform;
 pub mod replica;
