Links: bound headers and incomplete messages of peers

A process at the address of another gateway could make a gateway keep what it sent: the client side of a link took 16 MB of headers, the default of h2, and each stream kept up to 8 MB of an incomplete message, without a bound for all streams together.

Cause: only the server side set a limit for headers, and the codec's limit is one for each message. The client now takes 8 KB of headers as the server does, and the incomplete messages of a process share 12 MB beside 64 KB each.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -16,7 +16,7 @@
 use crate::codec::{self, Decoder};
 use crate::error::{Cause, Error, Result, Step};
 use crate::meter::{LastRead, Metered};
-use crate::security::{MaybeTls, Security};
+use crate::security::{MAX_HEADER_BYTES, MaybeTls, Security};
 
 /// Timeout of the TCP connection and of each handshake that follows it.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
@@ -62,7 +62,8 @@
         let mut builder = h2::client::Builder::new();
         builder
             .initial_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_header_list_size(MAX_HEADER_BYTES);
         let (send, connection) =
             with_timeout(OPEN_TIMEOUT, Step::Handshake, peer, builder.handshake(metered)).await?;
         let (closed, _) = watch::channel(false);
@@ -117,7 +118,7 @@
         Ok(Replies {
             peer: self.peer,
             state,
-            decoder: Decoder::default(),
+            decoder: Decoder::new(self.security.messages.clone()),
             closed: self.closed.subscribe(),
         })
     }
@@ -189,7 +190,7 @@
                     Some(data) => {
                         let data = data?;
                         body.flow_control().release_capacity(data.len())?;
-                        self.decoder.extend(&data);
+                        self.decoder.extend(&data)?;
                     }
                     None => {
                         self.decoder.finish()?;
--- a/crates/link/src/codec.rs
+++ b/crates/link/src/codec.rs
@@ -1,11 +1,18 @@
 //! Codec for frames: a 4-byte big-endian length, followed by a `bincode` body.
 
 use bytes::{Buf as _, Bytes, BytesMut};
+use std::sync::Arc;
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Maximum size of a frame's body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Memory for the incomplete messages of all streams of a process, in bytes.
+const MAX_INCOMPLETE_BYTES: usize = 12 * 1024 * 1024;
+/// Size up to which an incomplete message is kept in any case, in bytes.
+const MIN_INCOMPLETE_BYTES: usize = 64 * 1024;
 /// Size of the length prefix, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -24,6 +31,9 @@
     /// The message cannot be encoded.
     #[error("the message cannot be written: {0}")]
     Encode(#[from] bincode::error::EncodeError),
+    /// The incomplete messages of other streams leave too little memory.
+    #[error("the messages in progress are too large")]
+    NoMemory,
     /// The stream ended inside a frame.
     #[error("the stream ended inside a frame")]
     Truncated,
@@ -50,16 +60,49 @@
     Ok(buf.into())
 }
 
+/// Memory that the incomplete messages of a process share; clones are the same memory.
+#[derive(Clone, Debug)]
+pub struct MessageMemory(Arc<Semaphore>);
+
+impl Default for MessageMemory {
+    fn default() -> Self {
+        Self(Arc::new(Semaphore::new(MAX_INCOMPLETE_BYTES)))
+    }
+}
+
 /// Incremental decoder of the frames in a byte stream.
 #[derive(Debug, Default)]
 pub struct Decoder {
     buf: BytesMut,
+    memory: MessageMemory,
+    held: Option<OwnedSemaphorePermit>,
 }
 
 impl Decoder {
+    /// Creates a decoder of one of the streams that share `memory`.
+    pub fn new(memory: MessageMemory) -> Self {
+        Self { buf: BytesMut::new(), memory, held: None }
+    }
+
     /// Appends received bytes to the buffer.
-    pub fn extend(&mut self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    /// [`Error::NoMemory`].
+    pub fn extend(&mut self, bytes: &[u8]) -> Result<()> {
+        let size = self.buf.len() + bytes.len();
+        let held = self.held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let missing = size.saturating_sub(MIN_INCOMPLETE_BYTES + held);
+        if missing > 0 {
+            let missing = u32::try_from(missing).map_err(|_| Error::NoMemory)?;
+            let more = self.memory.0.clone().try_acquire_many_owned(missing);
+            let more = more.map_err(|_| Error::NoMemory)?;
+            match &mut self.held {
+                Some(held) => held.merge(more),
+                None => self.held = Some(more),
+            }
+        }
         self.buf.extend_from_slice(bytes);
+        Ok(())
     }
 
     /// Returns the next message, or `None` if its frame is incomplete.
@@ -78,6 +121,11 @@
         }
         self.buf.advance(LENGTH_BYTES);
         let body = self.buf.split_to(len);
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
+        // What is left is at most what came with the end of this message.
+        let _held = self.held.take();
         let (message, read) = bincode::serde::decode_from_slice(&body, config())?;
         if read < len {
             return Err(Error::Trailing(len - read));
--- a/crates/link/src/security.rs
+++ b/crates/link/src/security.rs
@@ -17,6 +17,7 @@
 };
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 
+use crate::codec::MessageMemory;
 use crate::error::{Cause, Error, Result, Step};
 use crate::meter::Traffic;
 
@@ -25,6 +26,9 @@
 /// Interval at which the key files are checked for changes.
 const KEY_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Maximum size of the headers of a request or reply, in bytes.
+pub(crate) const MAX_HEADER_BYTES: u32 = 8 * 1024;
+
 pub(crate) const CLUSTER_HEADER: &str = "marigold-cluster";
 pub(crate) const VERSION_HEADER: &str = "marigold-version";
 pub(crate) const SECRET_HEADER: &str = "marigold-secret";
@@ -41,6 +45,8 @@
     keys: Option<ArcSwap<TlsConfigs>>,
     /// Byte counters over all links of the process.
     pub traffic: Arc<Traffic>,
+    /// Memory for the incomplete messages of all links of the process.
+    pub(crate) messages: MessageMemory,
 }
 
 impl Security {
@@ -61,6 +67,7 @@
             secret: secret.to_owned(),
             keys: loaded.map(ArcSwap::from_pointee),
             traffic: Arc::default(),
+            messages: MessageMemory::default(),
         });
         if let Some(files) = files {
             tokio::spawn(reload_keys(Arc::downgrade(&security), files));
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -14,10 +14,10 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
-use crate::codec::{self, Decoder};
+use crate::codec::{self, Decoder, MessageMemory};
 use crate::error::{Cause, Error, Result, Step};
 use crate::meter::{LastRead, Metered};
-use crate::security::Security;
+use crate::security::{MAX_HEADER_BYTES, Security};
 
 /// Time without received bytes after which a connection is closed; a client opens another when it needs one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -176,7 +176,7 @@
     let metered =
         Metered { inner: stream, traffic: security.traffic.clone(), last_read: last_read.clone() };
     let mut builder = h2::server::Builder::new();
-    builder.max_concurrent_streams(MAX_STREAMS).max_header_list_size(8 * 1024);
+    builder.max_concurrent_streams(MAX_STREAMS).max_header_list_size(MAX_HEADER_BYTES);
     let handshake = time::timeout(RECEIVE_TIMEOUT, builder.handshake(metered)).await;
     let mut connection = match handshake {
         Ok(connection) => connection.map_err(Error::at(Step::Handshake, peer))?,
@@ -206,9 +206,10 @@
             connection.graceful_shutdown();
             continue;
         }
-        let handler = handler.clone();
+        let (handler, messages) = (handler.clone(), security.messages.clone());
         tokio::spawn(async move {
-            if let Err(err) = serve_request(req.into_body(), respond, peer, handler).await {
+            let served = serve_request(req.into_body(), respond, peer, handler, messages);
+            if let Err(err) = served.await {
                 tracing::debug!(%err, "request failed");
             }
         });
@@ -220,8 +221,9 @@
     respond: SendResponse<Bytes>,
     peer: SocketAddr,
     handler: Arc<H>,
+    messages: MessageMemory,
 ) -> Result<()> {
-    let req = match time::timeout(RECEIVE_TIMEOUT, read_request(body)).await {
+    let req = match time::timeout(RECEIVE_TIMEOUT, read_request(body, messages)).await {
         Ok(Ok(req)) => req,
         Ok(Err(cause)) => {
             refuse(respond, peer, cause.to_string()).await?;
@@ -238,8 +240,11 @@
     handler.handle(req, open_replies(respond, peer)?).await
 }
 
-async fn read_request(mut body: RecvStream) -> std::result::Result<Request, Cause> {
-    let mut decoder = Decoder::default();
+async fn read_request(
+    mut body: RecvStream,
+    messages: MessageMemory,
+) -> std::result::Result<Request, Cause> {
+    let mut decoder = Decoder::new(messages);
     loop {
         if let Some(req) = decoder.next_message()? {
             return Ok(req);
@@ -250,7 +255,7 @@
         };
         let data = data?;
         body.flow_control().release_capacity(data.len())?;
-        decoder.extend(&data);
+        decoder.extend(&data)?;
     }
 }
 
--- a/crates/link/tests/codec.rs
+++ b/crates/link/tests/codec.rs
@@ -1,6 +1,6 @@
 //! Tests of the codec between processes: any bytes decode to a message or an error, and memory stays bounded.
 
-use marigold_link::codec::{self, Decoder, MAX_FRAME_BYTES};
+use marigold_link::codec::{self, Decoder, Error, MAX_FRAME_BYTES, MessageMemory};
 use marigold_schema::messages::{Heartbeat, Pull, Reply, Report, Request, ShardLicence};
 use proptest::prelude::*;
 
@@ -24,7 +24,7 @@
     #[test]
     fn decode_arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
         let mut decoder = Decoder::default();
-        decoder.extend(&bytes);
+        decoder.extend(&bytes).unwrap();
         while let Ok(Some(_)) = decoder.next_message::<Request>() {}
     }
 
@@ -34,7 +34,7 @@
         let mut decoder = Decoder::default();
         for chunk in frame.chunks(cut) {
             prop_assert!(decoder.next_message::<Request>().unwrap().is_none());
-            decoder.extend(chunk);
+            decoder.extend(chunk).unwrap();
         }
         let decoded = decoder.next_message::<Request>().unwrap();
         prop_assert_eq!(decoded, Some(Request::Pull(Pull { revision })));
@@ -45,7 +45,7 @@
     fn decode_truncated(cut in 1..12_usize) {
         let frame = codec::encode(&Request::Pull(Pull { revision: u64::MAX })).unwrap();
         let mut decoder = Decoder::default();
-        decoder.extend(&frame[..frame.len() - cut]);
+        decoder.extend(&frame[..frame.len() - cut]).unwrap();
         prop_assert!(decoder.next_message::<Request>().unwrap().is_none());
         prop_assert!(decoder.finish().is_err());
     }
@@ -54,7 +54,7 @@
 #[test]
 fn decode_oversize_frame() {
     let mut decoder = Decoder::default();
-    decoder.extend(&(MAX_FRAME_BYTES as u32 + 1).to_be_bytes());
+    decoder.extend(&(MAX_FRAME_BYTES as u32 + 1).to_be_bytes()).unwrap();
     assert!(decoder.next_message::<Request>().is_err(), "the length alone must be refused");
 }
 
@@ -65,7 +65,7 @@
     let len = frame.len() as u32 - 4;
     frame[..4].copy_from_slice(&len.to_be_bytes());
     let mut decoder = Decoder::default();
-    decoder.extend(&frame);
+    decoder.extend(&frame).unwrap();
     assert!(decoder.next_message::<Request>().is_err());
 }
 
@@ -94,3 +94,22 @@
     );
     assert!(total <= MAX_CONTROL_BYTES_PER_S);
 }
+
+/// Guards against many incomplete messages that together fill the memory, and against a share that is not given back.
+#[test]
+fn incomplete_messages_share_memory() {
+    const PART_BYTES: usize = 1024 * 1024;
+    const STREAMS: usize = 40;
+    let memory = MessageMemory::default();
+    let part = [&(MAX_FRAME_BYTES as u32).to_be_bytes()[..], &[0; PART_BYTES]].concat();
+    for _ in 0..2 {
+        let mut decoders: Vec<Decoder> =
+            (0..STREAMS).map(|_| Decoder::new(memory.clone())).collect();
+        let kept = decoders.iter_mut().filter_map(|decoder| decoder.extend(&part).ok()).count();
+        assert!((MAX_FRAME_BYTES / PART_BYTES..STREAMS / 2).contains(&kept), "{kept}");
+        let mut small = Decoder::new(memory.clone());
+        small.extend(&part[..1024]).unwrap();
+        let refused = decoders.last_mut().unwrap().extend(&part);
+        assert!(matches!(refused, Err(Error::NoMemory)), "{refused:?}");
+    }
+}
