Bound heartbeats and the text about replies that are not understood

A gateway whose peer replied to polls and stages with a large message wrote the whole message to its log, several times a second: 88 MB in 1.6 s with 5.35 s of processor time. A peer that sent a heartbeat each millisecond kept 40 requests until their deadline of 4 s, with 2.96 s of processor time.

Cause: errors contained the reply in full, and any heartbeat counts as a sign of work. The text is now cut at 200 bytes, and a peer that sends 16 heartbeats more than are due counts as faulty, so that the next owner runs the stage.

Test (`endless_replies_of_a_gateway_are_bounded`): before, it failed with 88,055,277 bytes of log; after, the large message took 0.42 s and the heartbeats 1.39 s, with 0.16 s and 0.31 s of processor time, and the log is below 1 MB.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,7 @@
 //! Requests between gateways: running stages, freeing results, and exchanging state and configurations.
 
+use std::fmt;
+use std::fmt::Write as _;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,7 +17,7 @@
     AnswerAges, AnswerQuery, ConfigText, CrashReport, GatewayFacts, LimitAsk, LimitGrant, ProbeAsk,
     QuarantineList, Reply, Request, RunStage, StageDone, StageRelease, TargetChanges,
 };
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::batcher;
 use crate::dialect::Dialect;
@@ -36,6 +38,10 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a heartbeat after which a stage is run elsewhere; three heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Number of heartbeats beyond those that are due from which a gateway counts as faulty.
+const MAX_EXTRA_HEARTBEATS: u32 = 16;
+/// Length of the text about a reply that is not understood, in bytes.
+const MAX_REPLY_TEXT_BYTES: usize = 200;
 /// Number of owners that are tried for a stage, one after the other. If none answers, this gateway is likely to be
 /// partitioned and runs the stage itself.
 const MAX_OWNERS_TRIED: usize = 2;
@@ -79,15 +85,42 @@
         .map_err(|_| format!("no link within {REPLY_TIMEOUT:?}"))?
         .map_err(|err| err.to_string())?;
     let mut timeout = REPLY_TIMEOUT;
+    let (started, mut heartbeats) = (Instant::now(), 0);
     loop {
         match replies.next(timeout).await.map_err(|err| err.to_string())? {
-            Some(Reply::Queued(_)) => timeout = HEARTBEAT_TIMEOUT,
+            Some(Reply::Queued(_)) => {
+                timeout = HEARTBEAT_TIMEOUT;
+                heartbeats += 1;
+                let expected = started.elapsed().div_duration_f64(HEARTBEAT_INTERVAL) as u32;
+                if heartbeats > MAX_EXTRA_HEARTBEATS + expected {
+                    return Err(format!("{heartbeats} heartbeats, {expected} expected"));
+                }
+            }
             Some(Reply::StageDone(done)) => return Ok(done),
-            reply => return Err(format!("unexpected reply {reply:?}")),
+            reply => return Err(unexpected(&reply)),
         }
     }
 }
 
+/// Text of a limited length; more is an error, so that the rest isn't formatted.
+struct ShortText(String);
+
+impl fmt::Write for ShortText {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        let left = MAX_REPLY_TEXT_BYTES.saturating_sub(self.0.len());
+        self.0.push_str(&text[..text.floor_char_boundary(left)]);
+        if text.len() > left { Err(fmt::Error) } else { Ok(()) }
+    }
+}
+
+/// Describes a reply that does not answer its request, by the begin of its content.
+fn unexpected(reply: &impl fmt::Debug) -> String {
+    let mut text = ShortText("unexpected reply ".to_owned());
+    // Fails if the content is longer.
+    let _ = write!(text, "{reply:?}");
+    text.0
+}
+
 /// Frees results through the owner of their pool.
 pub(crate) async fn release<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
@@ -110,7 +143,7 @@
 pub(crate) async fn ask_limit(owner: &Member, ask: LimitAsk) -> Result<LimitGrant, String> {
     match exchange(owner, &Request::AskLimit(ask), limits::ASK_TIMEOUT).await? {
         Reply::LimitGrant(grant) => Ok(grant),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -123,7 +156,7 @@
     let req = if is_stored { Request::StoreOrigin(origin) } else { Request::RecordOrigin(origin) };
     match exchange(keeper, &req, origins::QUERY_TIMEOUT).await? {
         Reply::Accepted(true) => Ok(()),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -134,7 +167,7 @@
 ) -> Result<messages::OriginAnswer, String> {
     match exchange(member, &Request::ReadOrigin(query), origins::QUERY_TIMEOUT).await? {
         Reply::Origin(answer) => Ok(answer),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -142,7 +175,7 @@
 pub(crate) async fn report_crash(detector: &Member, report: CrashReport) -> Result<(), String> {
     match exchange(detector, &Request::ReportCrash(report), evidence::MESSAGE_TIMEOUT).await? {
         Reply::Accepted(true) => Ok(()),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -153,7 +186,7 @@
 ) -> Result<AnswerAges, String> {
     match exchange(member, &Request::ReadAnswers(query), evidence::MESSAGE_TIMEOUT).await? {
         Reply::AnswerAges(ages) => Ok(ages),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -164,7 +197,7 @@
 ) -> Result<QuarantineList, String> {
     match exchange(member, &Request::SyncQuarantines(list), REPLY_TIMEOUT).await? {
         Reply::Quarantines(list) => Ok(list),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -172,7 +205,7 @@
 pub(crate) async fn ask_probe(owner: &Member, ask: ProbeAsk) -> Result<bool, String> {
     match exchange(owner, &Request::AskProbe(ask), evidence::MESSAGE_TIMEOUT).await? {
         Reply::Accepted(is_granted) => Ok(is_granted),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -202,7 +235,11 @@
     let facts = match exchange(&member, &req, REPLY_TIMEOUT).await {
         Ok(Reply::Facts(facts)) => facts,
         Ok(reply) => {
-            tracing::warn!(member = member.name, ?reply, "unexpected reply from gateway");
+            tracing::warn!(
+                member = member.name,
+                err = unexpected(&reply),
+                "unexpected reply from gateway"
+            );
             shared.members.on_poll_failure(&member.name);
             return;
         }
@@ -312,7 +349,7 @@
     shared.end_targets_read();
     let TargetChanges { state, objects, service } = match reply? {
         Reply::TargetChanges(changes) => changes,
-        reply => return Err(format!("unexpected reply {reply:?}")),
+        reply => return Err(unexpected(&reply)),
     };
     // Before the changes are applied: entries that expired in an outage are kept for a while.
     if let Some(service) = service {
