--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -554,7 +554,9 @@
     let peer = Peer::new(&tracked.target, Purpose::Pieces);
     let connections = &shared.stage_connections;
     let started = boottime::now();
-    let reply = match connections.call(peer, req, may_reuse, timeouts, MAX_REPLY_BYTES).await {
+    let limit = MAX_REPLY_BYTES;
+    let memory = &shared.replies;
+    let reply = match connections.call(peer, req, may_reuse, timeouts, limit, memory).await {
         Ok(reply) => reply,
         Err(err @ stage_connections::Error::Reused(_)) => {
             // A call that broke off at once was not received.
@@ -732,7 +734,8 @@
     let peer = Peer::new(&tracked.target, Purpose::Release);
     let timeouts = Timeouts { reused: RELEASE_TIMEOUT / 2, new: RELEASE_TIMEOUT };
     let connections = &shared.stage_connections;
-    let result = connections.call(peer, req, may_reuse, timeouts, MAX_REPLY_BYTES).await;
+    let result =
+        connections.call(peer, req, may_reuse, timeouts, MAX_REPLY_BYTES, &shared.replies).await;
     let use_of = match &result {
         Ok(reply) if reply.is_on_reused() => "reused",
         Err(stage_connections::Error::Reused(_)) => "unproven",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod poison;
 mod ports;
 mod relay;
+pub mod reply_memory;
 mod request;
 mod response;
 pub mod run;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,7 +18,7 @@
 use marigold_objects::Store;
 use marigold_process::boottime;
 use opentelemetry::KeyValue;
-use tokio::sync::{SemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::attempts::{self, Attempts, Reply};
@@ -38,10 +38,8 @@
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum size of a target's response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Size up to which a response is gathered in any case, in bytes; the rest draws on [`MAX_GATHERED_BYTES`].
+/// Size up to which a response is gathered in any case, in bytes; the rest draws on the memory that replies share.
 const MIN_GATHERED_BYTES: usize = 64 * 1024;
-/// Memory for all responses that are being gathered, in bytes. Replies without end share it.
-pub(crate) const MAX_GATHERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// A request in progress. Its log line is written when it ends, also when the caller closes the connection and the
 /// guard is dropped.
@@ -536,7 +534,7 @@
 ) -> Result<Bytes, String> {
     let mut gathered = Vec::new();
     let mut hold = shared.memory.open(Kind::Response);
-    let mut memory: Option<SemaphorePermit<'_>> = None;
+    let mut reply = shared.replies.open(MIN_GATHERED_BYTES);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| upstream::error_chain(&err))?;
         let Ok(data) = frame.into_data() else { continue };
@@ -544,15 +542,7 @@
         if size > MAX_RESPONSE_BYTES {
             return Err(format!("the body is larger than {MAX_RESPONSE_BYTES} bytes"));
         }
-        let missing = size - memory.as_ref().map_or(0, SemaphorePermit::num_permits);
-        if missing > MIN_GATHERED_BYTES {
-            let more = shared.gathered_bytes.try_acquire_many(missing as u32);
-            let more = more.map_err(|_| "the responses in progress are too large".to_owned())?;
-            match &mut memory {
-                Some(memory) => memory.merge(more),
-                None => memory = Some(more),
-            }
-        }
+        reply.resize(size).map_err(|err| err.to_string())?;
         if let Err(err) = reserve(&mut gathered, size, length, MAX_RESPONSE_BYTES, &mut hold) {
             shared.memory.record_refusal("response_given_up");
             return Err(err.to_string());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,7 +19,7 @@
 use marigold_schema::settings::GatewaySettings;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::batcher::Batcher;
 use crate::connections::Connections;
@@ -37,7 +37,7 @@
 use crate::origins::Origins;
 use crate::origins::versions::Versions;
 use crate::poison::{self, Poison};
-use crate::request;
+use crate::reply_memory::ReplyMemory;
 use crate::stage_connections::StageConnections;
 use crate::stage_runner::ReleaseQueue;
 use crate::target_relay;
@@ -45,6 +45,8 @@
 
 /// Number of parts of a configuration that cannot be used which are logged; the metric counts all.
 const MAX_LOGGED_DEFECTS: usize = 32;
+/// Memory for all replies of targets that are being read, in bytes.
+const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
 /// What became of a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,8 +133,8 @@
     budgets: Mutex<HashMap<Name, WindowBudget>>,
     /// Versions of targets that the metrics have, with the last counts.
     reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
-    /// Memory that is left for responses that are being gathered, in bytes.
-    pub(crate) gathered_bytes: Semaphore,
+    /// Memory for the replies of targets that are being read.
+    pub(crate) replies: ReplyMemory,
     in_flight: AtomicUsize,
     dialect: PhantomData<D>,
 }
@@ -188,7 +190,7 @@
             newer_config_since: Mutex::default(),
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
-            gathered_bytes: Semaphore::new(request::MAX_GATHERED_BYTES),
+            replies: ReplyMemory::new(MAX_REPLY_BYTES),
             in_flight: AtomicUsize::new(0),
             dialect: PhantomData,
         }
--- a/crates/gateway/src/stage_connections.rs
+++ b/crates/gateway/src/stage_connections.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use tokio::time::{self, Instant};
 
+use crate::reply_memory::ReplyMemory;
 use crate::targets::TargetTable;
 use crate::upstream::{self, Connection};
 
@@ -128,6 +129,7 @@
         may_reuse: bool,
         timeouts: Timeouts,
         limit: usize,
+        memory: &ReplyMemory,
     ) -> Result<Reply> {
         let idle = may_reuse.then(|| self.pop_idle(&peer, boottime::now())).flatten();
         let Some(Idle { connection, history, .. }) = idle else {
@@ -139,12 +141,13 @@
             });
             let connection = connection.map_err(Error::New)?;
             let history = ConnectionHistory::new(boottime::now());
-            return exchange(peer, connection, history, req, deadline, limit)
+            return exchange(peer, connection, history, req, deadline, limit, memory)
                 .await
                 .map_err(Error::New);
         };
         let deadline = Instant::now() + timeouts.reused;
-        let result = exchange(peer.clone(), connection, history, req, deadline, limit).await;
+        let result =
+            exchange(peer.clone(), connection, history, req, deadline, limit, memory).await;
         result.map_err(|err| {
             // The others to this target are likely to be closed or forgotten as well.
             self.state.lock().idle.remove(&peer);
@@ -243,8 +246,9 @@
     req: Request<Bytes>,
     deadline: Instant,
     limit: usize,
+    memory: &ReplyMemory,
 ) -> upstream::Result<Reply> {
-    let response = connection.exchange(req, deadline, limit).await?;
+    let response = connection.exchange(req, deadline, limit, memory).await?;
     let is_settled = connection.settle(SETTLE_TIMEOUT).await;
     Ok(Reply { response, is_settled, history, connection, peer })
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -25,6 +25,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{self, Instant};
 
+use crate::reply_memory::{Exhausted, ReplyMemory};
+
 /// Timeout for opening a connection. It covers several round trips and the target's handshake, for which the
 /// deployments' data sheets state 1 ms.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
@@ -37,6 +39,8 @@
 const MAX_INTERIM_REPLIES: usize = 16;
 /// Value of the number of bytes that may be read when it is not limited.
 const UNLIMITED: usize = usize::MAX;
+/// Size up to which the body of a reply to a call of this process is read in any case, in bytes.
+const MIN_BODY_BYTES: usize = 16 * 1024;
 /// Time without an answer after which the kernel probes a connection, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the kernel closes a connection.
@@ -66,6 +70,14 @@
         /// Error of the connection, or a timeout.
         reason: String,
     },
+    /// The replies in progress leave too little memory for this one.
+    #[error("calling {peer}: {reason}")]
+    NoMemory {
+        /// Address that was called.
+        peer: SocketAddr,
+        /// What uses the memory.
+        reason: Exhausted,
+    },
     /// The reply has more bytes than are accepted.
     #[error("calling {peer}: the reply has more than {limit} bytes")]
     TooLarge {
@@ -220,12 +232,13 @@
     /// Sends a request and reads the complete reply, whose body may have up to `limit` bytes.
     ///
     /// # Errors
-    /// [`Error::TooLarge`] or [`Error::MaybeSent`]; the latter also when the reply is not complete at the deadline.
+    /// [`Error::TooLarge`], [`Error::NoMemory`] or [`Error::MaybeSent`]; the latter also when the reply is not complete at the deadline.
     pub(crate) async fn exchange(
         &mut self,
         req: Request<Bytes>,
         deadline: Instant,
         limit: usize,
+        memory: &ReplyMemory,
     ) -> Result<Response<Bytes>> {
         let started = Instant::now();
         let (peer, local) = (self.peer, self.local);
@@ -235,15 +248,8 @@
                 HeaderValue::try_from(peer.to_string()).expect("an address is a valid header");
             req.headers_mut().insert(header::HOST, host);
             let (head, body) = self.send(req).await?.into_parts();
-            let read = Limited::new(body, limit).collect().await;
-            let body = read.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
-                Some(_) => Error::TooLarge { peer, limit },
-                None => {
-                    let reason = format!("reading the reply: {}", error_chain(&*err));
-                    Error::MaybeSent { peer, reason }
-                }
-            })?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = read_body(peer, body, limit, memory).await?;
+            Ok(Response::from_parts(head, body))
         });
         exchanged.await.unwrap_or_else(|_| {
             let waited = started.elapsed();
@@ -263,6 +269,31 @@
     }
 }
 
+/// Reads a body of up to `limit` bytes.
+async fn read_body(
+    peer: SocketAddr,
+    mut body: Incoming,
+    limit: usize,
+    memory: &ReplyMemory,
+) -> Result<Bytes> {
+    let mut hold = memory.open(MIN_BODY_BYTES);
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| {
+            let reason = format!("reading the reply: {}", error_chain(&err));
+            Error::MaybeSent { peer, reason }
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        let size = buf.len() + data.len();
+        if size > limit {
+            return Err(Error::TooLarge { peer, limit });
+        }
+        hold.resize(size).map_err(|reason| Error::NoMemory { peer, reason })?;
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.into())
+}
+
 /// Returns whether an address refuses connections, so that no process listens there.
 pub(crate) async fn is_refused(peer: SocketAddr) -> bool {
     let opened = time::timeout(OPEN_TIMEOUT, TcpStream::connect(peer)).await;
@@ -273,12 +304,13 @@
 pub struct Client {
     peer: SocketAddr,
     idle: Mutex<Vec<Connection>>,
+    memory: ReplyMemory,
 }
 
 impl Client {
-    /// Creates a client without opening a connection.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self { peer, idle: Mutex::default() }
+    /// Creates a client without opening a connection. Its replies share `memory`.
+    pub fn new(peer: SocketAddr, memory: ReplyMemory) -> Self {
+        Self { peer, idle: Mutex::default(), memory }
     }
 
     /// Sends a request and reads the complete reply, whose body may have up to `limit` bytes.
@@ -286,8 +318,8 @@
     /// If `may_retry` is set, a call that fails on a reused connection is repeated on a new one.
     ///
     /// # Errors
-    /// [`Error::NotSent`], [`Error::TooLarge`] or [`Error::MaybeSent`]; the latter also when the reply is not complete
-    /// within `timeout`.
+    /// [`Error::NotSent`], [`Error::TooLarge`], [`Error::NoMemory`] or [`Error::MaybeSent`]; the latter also when the reply is
+    /// not complete within `timeout`.
     pub async fn exchange(
         &self,
         req: Request<Bytes>,
@@ -324,7 +356,7 @@
         deadline: Instant,
         limit: usize,
     ) -> Result<Response<Bytes>> {
-        let result = connection.exchange(req, deadline, limit).await;
+        let result = connection.exchange(req, deadline, limit, &self.memory).await;
         if result.is_err() && Instant::now() >= deadline {
             // Connections of one path go silent together, and each would cost a timeout.
             self.idle.lock().clear();
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -1,8 +1,8 @@
 //! A TCP relay that drops the bytes of its open connections, closes or delays them, or refuses new ones.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -41,6 +41,8 @@
     close_before: watch::Sender<u64>,
     /// Delay of each chunk read, in milliseconds.
     delay_ms: AtomicU64,
+    /// Server of further connections, if it is another one than at the start.
+    server: Mutex<Option<SocketAddr>>,
 }
 
 /// A relay in front of one server address.
@@ -115,6 +117,12 @@
         self.control.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Closes all connections and forwards further ones to `server`, or to the first one again.
+    pub fn set_server(&self, server: Option<SocketAddr>) {
+        *self.control.server.lock().expect("no panic under the lock") = server;
+        self.close_connections();
+    }
+
     /// Starts or ends a partition: its start blackholes the open connections, and new ones are closed while it lasts.
     pub fn set_partitioned(&self, is_partitioned: bool) {
         self.control.refuses_connections.store(is_partitioned, Ordering::SeqCst);
@@ -130,6 +138,8 @@
             continue;
         }
         let control = control.clone();
+        let server = *control.server.lock().expect("no panic under the lock");
+        let server_addr = server.unwrap_or(server_addr);
         tokio::spawn(async move {
             if let Ok(server) = TcpStream::connect(server_addr).await {
                 forward(client, server, control);
