Bound replies to calls of stages by the pieces that were asked for

An owner of a pool with 300 targets whose replies had no end kept up to 256 KB of each, above the memory of its process.

Cause: the limit was that of the largest batch, for each call alone. A reply now has 8 KB and 512 bytes for each piece, a release 8 KB, and both draw on the memory that replies share.

--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -48,8 +48,10 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which idle connections are closed whose time is over or whose target has left.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum size of a reply to a call. Handles are shorter than 100 bytes and batches smaller than 1,000 pieces.
-const MAX_REPLY_BYTES: usize = 256 * 1024;
+/// Maximum size of a reply to a call that frees results, and of that to a call with pieces without their results, in bytes.
+const MAX_REPLY_BYTES: usize = 8 * 1024;
+/// Maximum size of the result of a piece in a reply, in bytes. Handles are shorter than 100 bytes.
+const MAX_RESULT_BYTES: usize = 512;
 /// Slowdown (ratio of measured to expected duration of calls) from which a target is used only if the faster ones do
 /// not suffice.
 const SLOW_THRESHOLD: f64 = 1.6;
@@ -554,7 +556,7 @@
     let peer = Peer::new(&tracked.target, Purpose::Pieces);
     let connections = &shared.stage_connections;
     let started = boottime::now();
-    let limit = MAX_REPLY_BYTES;
+    let limit = MAX_REPLY_BYTES + MAX_RESULT_BYTES * pieces.len();
     let memory = &shared.replies;
     let reply = match connections.call(peer, req, may_reuse, timeouts, limit, memory).await {
         Ok(reply) => reply,
