Bound the incomplete events of all streams together, and heads to 16 KB

Hundreds of streams whose targets sent a large part of an event and then a byte a second took a gateway with 120 MB to 172 MB; the system ends such a process, and with it the requests of all callers.

Cause: an incomplete event may have 256 KB, in a buffer of twice that, and nothing counted those of all streams. Beside 8 KB each, they now share 4 MB. The buffer of a connection, and so the head of a reply, has 16 KB in place of 64 KB.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -39,6 +39,11 @@
         Ok(events)
     }
 
+    /// Returns the size of the buffer for the part after the last complete event, in bytes.
+    pub fn buffered(&self) -> usize {
+        if self.buf.is_empty() { 0 } else { self.buf.capacity() }
+    }
+
     /// Returns the id of the last complete event that has one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/core/tests/events.rs
+++ b/crates/core/tests/events.rs
@@ -21,6 +21,16 @@
     assert_eq!(splitter.last_id(), Some(7));
 }
 
+/// Guards against memory that counts as used after the events have been passed on, or not before.
+#[test]
+fn buffered_is_the_incomplete_event() {
+    let mut splitter = Splitter::default();
+    splitter.push(&[b'x'; 10_000]).unwrap();
+    assert!(splitter.buffered() >= 10_000);
+    splitter.push(b"\n\n").unwrap();
+    assert_eq!(splitter.buffered(), 0);
+}
+
 #[test]
 fn push_too_large_event_is_refused() {
     let mut splitter = Splitter::default();
--- a/crates/gateway/src/attempts/continuation.rs
+++ b/crates/gateway/src/attempts/continuation.rs
@@ -15,7 +15,7 @@
 use super::Attempts;
 use crate::dialect::Dialect;
 use crate::origins::{self, Found, TakenUp};
-use crate::relay::EventStream;
+use crate::relay::{self, EventStream};
 use crate::response::Failure;
 use crate::targets::TrackedTarget;
 
@@ -183,7 +183,9 @@
         };
         let is_stream =
             reply.response.status() == StatusCode::OK && reply.is_reply_to(self.request());
-        is_stream
-            .then(|| EventStream::new(reply.sent, reply.response.into_body(), last_event, true))
+        is_stream.then(|| {
+            let hold = self.shared.incomplete_events.open(relay::MIN_BUFFERED_BYTES);
+            EventStream::new(reply.sent, reply.response.into_body(), hold, last_event, true)
+        })
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::crashes;
 use crate::dialect::Dialect;
 use crate::memory::Memory;
+use crate::reply_memory::ReplyHold;
 use crate::request::RequestGuard;
 use crate::response::{Aborted, Chunk};
 
@@ -27,6 +28,8 @@
 /// Size up to which events in a queue are not charged to the memory budget, in bytes. A queue of these takes 32 KB, and events of
 /// models are below one kilobyte.
 const MAX_UNCHARGED_BYTES: usize = 2 * 1024;
+/// Size up to which an incomplete event is kept in any case, in bytes; the rest draws on the memory that streams share.
+pub(crate) const MIN_BUFFERED_BYTES: usize = 8 * 1024;
 /// Time without data after which a resumable stream is resumed at another target. It is several times the gap between
 /// events that counts as late: by then the stream is late anyway, and resuming only ensures its completion.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -41,6 +44,8 @@
     sent: SentRequest,
     body: Incoming,
     splitter: Splitter,
+    /// Memory of the incomplete event.
+    hold: ReplyHold,
     is_resumable: bool,
     has_events: bool,
 }
@@ -57,11 +62,12 @@
     pub(crate) fn new(
         sent: SentRequest,
         body: Incoming,
+        hold: ReplyHold,
         last_event: Option<u64>,
         is_resumable: bool,
     ) -> Self {
         let splitter = Splitter::resume(last_event);
-        Self { sent, body, splitter, is_resumable, has_events: false }
+        Self { sent, body, splitter, hold, is_resumable, has_events: false }
     }
 
     /// Returns the id of the last complete event.
@@ -125,7 +131,11 @@
                 Some(Err(err)) => return StreamItem::Broken(crate::upstream::error_chain(&err)),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
-            match self.splitter.push(&data) {
+            let pushed = self.splitter.push(&data);
+            if let Err(err) = self.hold.resize(self.splitter.buffered()) {
+                return StreamItem::Broken(err.to_string());
+            }
+            match pushed {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => {
                     self.has_events = true;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -394,7 +394,7 @@
         }
         Ok(Ok(TargetResponse::Stream { head, first_events, stream })) => {
             guard.on_first_byte();
-            return stream_response(head, first_events, stream, attempts, guard);
+            return stream_response(head, first_events, *stream, attempts, guard);
         }
         Ok(Err(failure)) => failure,
         Err(_) if attempts.total_runs() > 0 => {
@@ -410,7 +410,7 @@
 /// A target's response, complete or as a stream of events.
 enum TargetResponse {
     Full { status: StatusCode, response: Response<Body>, target: String },
-    Stream { head: http::response::Parts, first_events: Option<Bytes>, stream: EventStream },
+    Stream { head: http::response::Parts, first_events: Option<Bytes>, stream: Box<EventStream> },
 }
 
 impl TargetResponse {
@@ -587,7 +587,9 @@
     let Reply { sent, response, .. } = reply;
     let (head, body) = response.into_parts();
     let is_resumable = attempts.route.repeat == Repeat::Resumable;
-    let mut stream = EventStream::new(sent, body, attempts.head.last_event, is_resumable);
+    let hold = attempts.shared.incomplete_events.open(relay::MIN_BUFFERED_BYTES);
+    let stream = EventStream::new(sent, body, hold, attempts.head.last_event, is_resumable);
+    let mut stream = Box::new(stream);
     match stream.next().await {
         StreamItem::Events(first_events) => {
             let (now, sent_at) = (boottime::now(), stream.sent_at());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -47,6 +47,8 @@
 const MAX_LOGGED_DEFECTS: usize = 32;
 /// Memory for all replies of targets that are being read, in bytes.
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
+/// Memory for the incomplete events of all streams, beside a small part of each, in bytes.
+const MAX_INCOMPLETE_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
 /// What became of a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -135,6 +137,8 @@
     reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
     /// Memory for the replies of targets that are being read.
     pub(crate) replies: ReplyMemory,
+    /// Memory for the incomplete events of all streams.
+    pub(crate) incomplete_events: ReplyMemory,
     in_flight: AtomicUsize,
     dialect: PhantomData<D>,
 }
@@ -191,6 +195,7 @@
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
             replies: ReplyMemory::new(MAX_REPLY_BYTES),
+            incomplete_events: ReplyMemory::new(MAX_INCOMPLETE_EVENT_BYTES),
             in_flight: AtomicUsize::new(0),
             dialect: PhantomData,
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -31,7 +31,7 @@
 /// deployments' data sheets state 1 ms.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the head of a reply, and of the buffer of a connection, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes until the head of a reply is complete: interim replies, the head, and the part of the body that is read
 /// with it. The parser reads interim replies as long as there are any.
 const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
