--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,7 @@
 //! Requests between gateways: running stages, freeing results, and exchanging state and configurations.
 
+use std::fmt;
+use std::fmt::Write as _;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,7 +19,7 @@
     AnswerAges, AnswerQuery, ConfigText, CrashReport, GatewayFacts, LimitAsk, LimitGrant, ProbeAsk,
     QuarantineList, Reply, Request, RunStage, StageDone, StageRelease, TargetChanges,
 };
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::batcher;
 use crate::dialect::Dialect;
@@ -38,6 +40,10 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a heartbeat after which a stage is run elsewhere; three heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Number of heartbeats beyond those that are due from which a gateway counts as faulty.
+const MAX_EXTRA_HEARTBEATS: u32 = 16;
+/// Length of the text about a reply that is not understood, in bytes.
+const MAX_REPLY_TEXT_BYTES: usize = 200;
 /// Number of owners that are tried for a stage, one after the other. If none answers, this gateway is likely to be
 /// partitioned and runs the stage itself.
 const MAX_OWNERS_TRIED: usize = 2;
@@ -113,15 +119,24 @@
         .map_err(|_| format!("no link within {REPLY_TIMEOUT:?}"))?
         .map_err(|err| err.to_string())?;
     let mut timeout = REPLY_TIMEOUT;
+    let (started, mut heartbeats) = (Instant::now(), 0);
     loop {
         match replies.next(timeout).await.map_err(|err| err.to_string())? {
-            Some(Reply::Queued(_)) => timeout = HEARTBEAT_TIMEOUT,
+            Some(Reply::Queued(_)) => {
+                timeout = HEARTBEAT_TIMEOUT;
+                heartbeats += 1;
+                let expected = started.elapsed().div_duration_f64(HEARTBEAT_INTERVAL) as u32;
+                if heartbeats > MAX_EXTRA_HEARTBEATS + expected {
+                    return Err(format!("{heartbeats} heartbeats, {expected} expected"));
+                }
+            }
             Some(Reply::StageDone(done)) => return Ok(Some(done)),
             Some(Reply::Refused(reason)) => {
+                let reason = short_text(&reason);
                 tracing::info!(member = member.name, reason, "stage refused");
                 return Ok(None);
             }
-            reply => return Err(format!("unexpected reply {reply:?}")),
+            reply => return Err(unexpected(&reply)),
         }
     }
 }
@@ -148,6 +163,30 @@
     stream::iter(told).for_each_concurrent(MAX_TOLD, |told| told).await;
 }
 
+/// Text of a limited length; more is an error, so that the rest isn't formatted.
+struct ShortText(String);
+
+impl fmt::Write for ShortText {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        let left = MAX_REPLY_TEXT_BYTES.saturating_sub(self.0.len());
+        self.0.push_str(&text[..text.floor_char_boundary(left)]);
+        if text.len() > left { Err(fmt::Error) } else { Ok(()) }
+    }
+}
+
+/// Returns the beginning of a value's text.
+fn short_text(value: &impl fmt::Debug) -> String {
+    let mut text = ShortText(String::new());
+    // Fails if the text is longer.
+    let _ = write!(text, "{value:?}");
+    text.0
+}
+
+/// Describes a reply that does not answer its request.
+fn unexpected(reply: &impl fmt::Debug) -> String {
+    format!("unexpected reply {}", short_text(reply))
+}
+
 /// Frees results through the owner of their pool.
 pub(crate) async fn release<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
@@ -170,7 +209,7 @@
 pub(crate) async fn ask_limit(owner: &Member, ask: LimitAsk) -> Result<LimitGrant, String> {
     match exchange(owner, &Request::AskLimit(ask), limits::ASK_TIMEOUT).await? {
         Reply::LimitGrant(grant) => Ok(grant),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -183,7 +222,7 @@
     let req = if is_stored { Request::StoreOrigin(origin) } else { Request::RecordOrigin(origin) };
     match exchange(keeper, &req, origins::QUERY_TIMEOUT).await? {
         Reply::Accepted(true) => Ok(()),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -194,7 +233,7 @@
 ) -> Result<messages::OriginAnswer, String> {
     match exchange(member, &Request::ReadOrigin(query), origins::QUERY_TIMEOUT).await? {
         Reply::Origin(answer) => Ok(answer),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -202,7 +241,7 @@
 pub(crate) async fn report_crash(detector: &Member, report: CrashReport) -> Result<(), String> {
     match exchange(detector, &Request::ReportCrash(report), evidence::MESSAGE_TIMEOUT).await? {
         Reply::Accepted(true) => Ok(()),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -213,7 +252,7 @@
 ) -> Result<AnswerAges, String> {
     match exchange(member, &Request::ReadAnswers(query), evidence::MESSAGE_TIMEOUT).await? {
         Reply::AnswerAges(ages) => Ok(ages),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -224,7 +263,7 @@
 ) -> Result<QuarantineList, String> {
     match exchange(member, &Request::SyncQuarantines(list), REPLY_TIMEOUT).await? {
         Reply::Quarantines(list) => Ok(list),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -232,7 +271,7 @@
 pub(crate) async fn ask_probe(owner: &Member, ask: ProbeAsk) -> Result<bool, String> {
     match exchange(owner, &Request::AskProbe(ask), evidence::MESSAGE_TIMEOUT).await? {
         Reply::Accepted(is_granted) => Ok(is_granted),
-        reply => Err(format!("unexpected reply {reply:?}")),
+        reply => Err(unexpected(&reply)),
     }
 }
 
@@ -262,7 +301,11 @@
     let facts = match exchange(&member, &req, REPLY_TIMEOUT).await {
         Ok(Reply::Facts(facts)) => facts,
         Ok(reply) => {
-            tracing::warn!(member = member.name, ?reply, "unexpected reply from gateway");
+            tracing::warn!(
+                member = member.name,
+                err = unexpected(&reply),
+                "unexpected reply from gateway"
+            );
             shared.members.on_poll_failure(&member.name);
             return;
         }
@@ -372,7 +415,7 @@
     shared.end_targets_read();
     let TargetChanges { state, objects, service } = match reply? {
         Reply::TargetChanges(changes) => changes,
-        reply => return Err(format!("unexpected reply {reply:?}")),
+        reply => return Err(unexpected(&reply)),
     };
     // Before the changes are applied: entries that expired in an outage are kept for a while.
     if let Some(service) = service {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,26 +4,43 @@
 //! for its response, an unresponsive target is detected when the connection is opened, and closing the connection cancels the
 //! request. Connections to the store and those of stage calls (`stage_connections`) are reused.
 
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{self, Instant};
 
+use crate::reply_memory::{Exhausted, ReplyMemory};
+
 /// Timeout for opening a connection. It covers several round trips and the target's handshake, for which the
 /// deployments' data sheets state 1 ms.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the head of a reply, and of the buffer of a connection, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes until the head of a reply is complete: interim replies, the head, and the part of the body that is read
+/// with it. The parser reads interim replies as long as there are any.
+const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
+/// Maximum number of interim replies to a request.
+const MAX_INTERIM_REPLIES: usize = 16;
+/// Value of the number of bytes that may be read when it is not limited.
+const UNLIMITED: usize = usize::MAX;
+/// Size up to which the body of a reply to a call of this process is read in any case, in bytes.
+const MIN_BODY_BYTES: usize = 16 * 1024;
 /// Time without an answer after which the kernel probes a connection, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the kernel closes a connection.
@@ -53,6 +70,14 @@
         /// Error of the connection, or a timeout.
         reason: String,
     },
+    /// The replies in progress leave too little memory for this one.
+    #[error("calling {peer}: {reason}")]
+    NoMemory {
+        /// Address that was called.
+        peer: SocketAddr,
+        /// What uses the memory.
+        reason: Exhausted,
+    },
     /// The reply has more bytes than are accepted.
     #[error("calling {peer}: the reply has more than {limit} bytes")]
     TooLarge {
@@ -63,10 +88,75 @@
     },
 }
 
+/// Stream of which a limited number of bytes is read before the head of a reply is complete.
+struct HeadLimited {
+    inner: TcpStream,
+    remaining: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for HeadLimited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.remaining.load(Ordering::Relaxed) == 0 {
+            let reason = format!(
+                "no final reply after {MAX_INTERIM_REPLIES} interim ones, or within {MAX_BYTES_BEFORE_HEAD} bytes"
+            );
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        use_up(&self.remaining, buf.filled().len() - filled);
+        polled
+    }
+}
+
+/// Reduces the number of bytes that may be read before the head of a reply is complete.
+fn use_up(remaining: &AtomicUsize, bytes: usize) {
+    let subtract =
+        |remaining: usize| (remaining != UNLIMITED).then(|| remaining.saturating_sub(bytes));
+    // Fails only where there is no limit.
+    let _ = remaining.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+}
+
+impl AsyncWrite for HeadLimited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
 /// An open connection; dropping it closes it.
 pub struct Connection {
     peer: SocketAddr,
     local: SocketAddr,
+    /// Number of bytes that may be read before the head of the reply is complete.
+    remaining: Arc<AtomicUsize>,
     send: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -102,9 +192,11 @@
             .map_err(|err| not_sent(err.to_string()))?;
         configure_socket(&stream).map_err(|err| not_sent(err.to_string()))?;
         let local = stream.local_addr().map_err(|err| not_sent(err.to_string()))?;
+        let remaining = Arc::new(AtomicUsize::new(MAX_BYTES_BEFORE_HEAD));
+        let limited = HeadLimited { inner: stream, remaining: remaining.clone() };
         let (send, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(limited))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         let task = tokio::spawn(async move {
@@ -112,7 +204,7 @@
                 tracing::debug!(%peer, %err, "connection to a target ended");
             }
         });
-        Ok(Self { peer, local, send, task: task.abort_handle() })
+        Ok(Self { peer, local, remaining, send, task: task.abort_handle() })
     }
 
     /// Returns whether another request can be sent.
@@ -125,21 +217,28 @@
     ///
     /// # Errors
     /// [`Error::MaybeSent`] when the connection fails before the head of the reply.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send(&mut self, mut req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         let peer = self.peer;
+        self.remaining.store(MAX_BYTES_BEFORE_HEAD, Ordering::Relaxed);
+        let remaining = self.remaining.clone();
+        hyper::ext::on_informational(&mut req, move |_| {
+            use_up(&remaining, MAX_BYTES_BEFORE_HEAD / MAX_INTERIM_REPLIES);
+        });
         let response = self.send.send_request(req).await;
+        self.remaining.store(UNLIMITED, Ordering::Relaxed);
         response.map_err(|err| Error::MaybeSent { peer, reason: error_chain(&err) })
     }
 
     /// Sends a request and reads the complete reply, whose body may have up to `limit` bytes.
     ///
     /// # Errors
-    /// [`Error::TooLarge`] or [`Error::MaybeSent`]; the latter also when the reply is not complete at the deadline.
+    /// [`Error::TooLarge`], [`Error::NoMemory`] or [`Error::MaybeSent`]; the latter also when the reply is not complete at the deadline.
     pub(crate) async fn exchange(
         &mut self,
         req: Request<Bytes>,
         deadline: Instant,
         limit: usize,
+        memory: &ReplyMemory,
     ) -> Result<Response<Bytes>> {
         let started = Instant::now();
         let (peer, local) = (self.peer, self.local);
@@ -149,15 +248,8 @@
                 HeaderValue::try_from(peer.to_string()).expect("an address is a valid header");
             req.headers_mut().insert(header::HOST, host);
             let (head, body) = self.send(req).await?.into_parts();
-            let read = Limited::new(body, limit).collect().await;
-            let body = read.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
-                Some(_) => Error::TooLarge { peer, limit },
-                None => {
-                    let reason = format!("reading the reply: {}", error_chain(&*err));
-                    Error::MaybeSent { peer, reason }
-                }
-            })?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = read_body(peer, body, limit, memory).await?;
+            Ok(Response::from_parts(head, body))
         });
         exchanged.await.unwrap_or_else(|_| {
             let waited = started.elapsed();
@@ -177,6 +269,31 @@
     }
 }
 
+/// Reads a body of up to `limit` bytes.
+async fn read_body(
+    peer: SocketAddr,
+    mut body: Incoming,
+    limit: usize,
+    memory: &ReplyMemory,
+) -> Result<Bytes> {
+    let mut hold = memory.open(MIN_BODY_BYTES);
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| {
+            let reason = format!("reading the reply: {}", error_chain(&err));
+            Error::MaybeSent { peer, reason }
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        let size = buf.len() + data.len();
+        if size > limit {
+            return Err(Error::TooLarge { peer, limit });
+        }
+        hold.resize(size).map_err(|reason| Error::NoMemory { peer, reason })?;
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.into())
+}
+
 /// Returns whether an address refuses connections, so that no process listens there.
 pub(crate) async fn is_refused(peer: SocketAddr) -> bool {
     let opened = time::timeout(OPEN_TIMEOUT, TcpStream::connect(peer)).await;
@@ -187,12 +304,13 @@
 pub struct Client {
     peer: SocketAddr,
     idle: Mutex<Vec<Connection>>,
+    memory: ReplyMemory,
 }
 
 impl Client {
-    /// Creates a client without opening a connection.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self { peer, idle: Mutex::default() }
+    /// Creates a client without opening a connection. Its replies share `memory`.
+    pub fn new(peer: SocketAddr, memory: ReplyMemory) -> Self {
+        Self { peer, idle: Mutex::default(), memory }
     }
 
     /// Sends a request and reads the complete reply, whose body may have up to `limit` bytes.
@@ -200,8 +318,8 @@
     /// If `may_retry` is set, a call that fails on a reused connection is repeated on a new one.
     ///
     /// # Errors
-    /// [`Error::NotSent`], [`Error::TooLarge`] or [`Error::MaybeSent`]; the latter also when the reply is not complete
-    /// within `timeout`.
+    /// [`Error::NotSent`], [`Error::TooLarge`], [`Error::NoMemory`] or [`Error::MaybeSent`]; the latter also when the reply is
+    /// not complete within `timeout`.
     pub async fn exchange(
         &self,
         req: Request<Bytes>,
@@ -238,7 +356,7 @@
         deadline: Instant,
         limit: usize,
     ) -> Result<Response<Bytes>> {
-        let result = connection.exchange(req, deadline, limit).await;
+        let result = connection.exchange(req, deadline, limit, &self.memory).await;
         if result.is_err() && Instant::now() >= deadline {
             // Connections of one path go silent together, and each would cost a timeout.
             self.idle.lock().clear();
