--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -162,6 +162,17 @@
     pub inputs: Vec<String>,
 }
 
+/// A span of time in which the replica worked on a request or on a piece of one.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// ID of the attempt.
+    pub request: String,
+    /// Start of the work.
+    pub started_at: Instant,
+    /// End of the work; for a request also when its caller closes the connection.
+    pub ended_at: Instant,
+}
+
 #[derive(Default)]
 struct State {
     /// ID of the replica, a new one after each crash; none while it is gone.
@@ -181,6 +192,8 @@
     is_leaving: AtomicBool,
     /// Delay before each plain response and the first event of each stream, in addition to that of the options.
     extra_delay: Mutex<Duration>,
+    /// Time by which each call of pieces takes longer than the options say.
+    extra_call_duration: Mutex<Duration>,
     /// Value of `Retry-After` with which the replica refuses all requests.
     pause: Mutex<Option<String>>,
     call_fault: Mutex<Option<CallFault>>,
@@ -194,6 +207,7 @@
     freed: Mutex<HashMap<String, CompletedPiece>>,
     stage_call_sizes: Mutex<Vec<usize>>,
     in_progress: AtomicUsize,
+    work: Mutex<Vec<Work>>,
 }
 
 impl State {
@@ -322,6 +336,16 @@
         *self.state.extra_delay.lock() = delay;
     }
 
+    /// Lets each call of pieces take longer from now on.
+    pub fn set_extra_call_duration(&self, duration: Duration) {
+        *self.state.extra_call_duration.lock() = duration;
+    }
+
+    /// Returns the work on requests and pieces that has ended, in the order of the ends.
+    pub fn work(&self) -> Vec<Work> {
+        self.state.work.lock().clone()
+    }
+
     /// Refuses all requests with this value of `Retry-After` from now on; `None` ends it.
     pub fn set_pause(&self, pause: Option<&str>) {
         *self.state.pause.lock() = pause.map(str::to_owned);
@@ -418,6 +442,33 @@
     }
 }
 
+/// Records the work on a request when it is dropped.
+struct WorkGuard {
+    state: Arc<State>,
+    request: String,
+    started_at: Instant,
+}
+
+impl WorkGuard {
+    fn new(state: &Arc<State>, request: &str) -> Self {
+        Self { state: state.clone(), request: request.to_owned(), started_at: Instant::now() }
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let request = std::mem::take(&mut self.request);
+        let (started_at, ended_at) = (self.started_at, Instant::now());
+        self.state.work.lock().push(Work { request, started_at, ended_at });
+    }
+}
+
+/// Returns the time that a request asks to be worked on with its header `Work-Ms`, in addition to the delays of the replica.
+fn requested_work(run: &Run) -> Duration {
+    let millis = run.headers.get("work-ms").and_then(|millis| millis.parse().ok());
+    Duration::from_millis(millis.unwrap_or(0))
+}
+
 impl Connection {
     async fn serve(mut self) -> std::io::Result<()> {
         while let Some(run) = self.read_request().await? {
@@ -529,7 +580,11 @@
         let body: Value = serde_json::from_slice(&run.body).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
         self.state.stage_call_sizes.lock().push(items.len());
-        time::sleep(self.options.stage_call_duration).await;
+        let extra = *self.state.extra_call_duration.lock();
+        let ids = items.iter().filter_map(|item| item["id"].as_str());
+        let working: Vec<_> = ids.map(|request| WorkGuard::new(&self.state, request)).collect();
+        time::sleep(self.options.stage_call_duration + extra).await;
+        drop(working);
         let decrement = |count: usize| count.checked_sub(1);
         let order = Ordering::SeqCst;
         let is_full = self.state.full_calls.fetch_update(order, order, decrement).is_ok();
@@ -598,7 +653,8 @@
         self.state.runs.lock().push(run.clone());
         let state = self.state.clone();
         state.in_progress.fetch_add(1, Ordering::SeqCst);
-        let _working = CountGuard(&state.in_progress);
+        let _in_progress = CountGuard(&state.in_progress);
+        let _working = WorkGuard::new(&state, &run.request);
         match fault {
             Some(Fault::EndlessHead) => {
                 return self.send_without_end(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n").await;
@@ -642,7 +698,7 @@
         if run.request_line.contains("/stream/") {
             return self.stream_events(&run, &headers, fault).await;
         }
-        if self.is_cancelled_in_extra_delay().await {
+        if self.is_cancelled_in_extra_delay(requested_work(&run)).await {
             return Ok(());
         }
         time::sleep(self.options.response_delay).await;
@@ -659,9 +715,10 @@
         }
     }
 
-    /// Waits for the extra delay; returns true if the caller closes the connection meanwhile, which cancels its request.
-    async fn is_cancelled_in_extra_delay(&mut self) -> bool {
-        let extra_delay = *self.state.extra_delay.lock();
+    /// Waits for the extra delay and `work`; returns true if the caller closes the connection meanwhile, which cancels its
+    /// request.
+    async fn is_cancelled_in_extra_delay(&mut self, work: Duration) -> bool {
+        let extra_delay = *self.state.extra_delay.lock() + work;
         if extra_delay.is_zero() {
             return false;
         }
@@ -716,15 +773,17 @@
         if fault == Some(Fault::EmptyContinuation) && after > 0 {
             return self.stream.write_all(b"0\r\n\r\n").await;
         }
-        if self.is_cancelled_in_extra_delay().await {
+        if self.is_cancelled_in_extra_delay(Duration::ZERO).await {
             return Ok(());
         }
+        let interval = self.options.response_delay
+            + requested_work(run).div_f64(self.options.events.max(1) as f64);
         for id in after + 1..=self.options.events {
             let mut buf = [0; 1];
             tokio::select! {
                 // A caller cancels its request by closing the connection.
                 _ = self.stream.read(&mut buf) => return Ok(()),
-                () = time::sleep(self.options.response_delay) => {}
+                () = time::sleep(interval) => {}
             }
             let mut event = format!("id: {id}\ndata: {} {id}\n\n", run.request);
             let is_cut = matches!(fault, Some(Fault::Truncated | Fault::EmptyContinuation));
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -97,12 +97,17 @@
         let _ = self.child.wait();
     }
 
+    /// Returns whether the process succeeded; none while it runs.
+    pub fn try_wait(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+
     /// Waits for the process to exit and returns whether it succeeded; none after `timeout`.
     pub fn wait(&mut self, timeout: Duration) -> Option<bool> {
         let started = Instant::now();
         while started.elapsed() < timeout {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return Some(status.success());
+            if let Some(is_success) = self.try_wait() {
+                return Some(is_success);
             }
             std::thread::sleep(Duration::from_millis(20));
         }
