--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -5,6 +5,7 @@
 mod held;
 mod limited;
 mod quarantined;
+mod stopping;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 
 use crate::announcements;
 use crate::dialect::{CallerHead, Dialect, Forward, LimitStatement, ReplyHead};
+use crate::in_progress::{Phase, Progress};
 use crate::limits;
 use crate::origins::versions;
 use crate::response::Failure;
@@ -151,6 +153,7 @@
     pub(crate) tried: HashSet<Name>,
     /// Set while the request may be hedged, or has been.
     pub(crate) race: Option<Arc<hedge::Race<D, S>>>,
+    pub(crate) progress: Arc<Progress>,
 }
 
 impl<D: Dialect, S: Store> Attempts<D, S> {
@@ -223,7 +226,14 @@
     /// # Errors
     /// A refusal when a stage fails; the request itself has not run.
     pub(crate) async fn run_stages(&self, since: Uptime) -> Result<Results<D, S>, Failure> {
-        self.stage_runner(since).run(&self.shared).await.map_err(|failure| {
+        self.progress.set_phase(Phase::Stages);
+        let too_late = self.shared.stop.too_late_for(self.response_time());
+        let results = tokio::select! {
+            biased;
+            results = self.stage_runner(since).run(&self.shared) => results,
+            () = too_late => return Err(self.stop_failure()),
+        };
+        results.map_err(|failure| {
             let reason = match failure {
                 PieceFailure::Late => "the stages could not be done in time",
                 PieceFailure::InputGone => "a stage's results were lost",
@@ -321,9 +331,11 @@
         // Targets whose limits left no request for this one.
         let mut denied = HashSet::new();
         loop {
+            self.progress.set_phase(Phase::Connecting);
             if let Some(entry) = self.quarantine() {
                 return Err(self.quarantine_failure(&entry));
             }
+            self.check_sending()?;
             if self.is_beginning() {
                 versions::ensure_adopted(&self.shared, &self.pool).await;
             }
@@ -361,6 +373,8 @@
                     continue;
                 }
             };
+            // Opening the connection, and asking for a place, have taken time.
+            self.check_sending()?;
             if let Some(last_event) = resume_after {
                 tracing::info!(
                     request = self.request(),
@@ -373,6 +387,7 @@
             }
             let req = self.build_request(&tracked, &results, resume_after);
             self.runs += 1;
+            self.progress.set_phase(Phase::Answer);
             self.on_first_sent(&tracked, now, &results);
             let status = match self.exchange(&tracked, connection, req, now).await {
                 Ok(reply) => return Ok(reply),
@@ -445,6 +460,15 @@
         Err(NoAnswer::NotRun(status))
     }
 
+    /// Returns the failure of a request whose deadline has passed.
+    pub(crate) fn deadline_failure(&self) -> Failure {
+        if self.total_runs() > 0 {
+            Failure::new(StatusCode::GATEWAY_TIMEOUT, "the target did not answer in time")
+        } else {
+            Failure::new(StatusCode::SERVICE_UNAVAILABLE, "the request could not be run in time")
+        }
+    }
+
     fn no_target_failure(&self) -> Failure {
         if self.total_runs() > 0 {
             return Failure::new(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,6 +23,7 @@
 
 use crate::attempts::{self, Attempts, Reply};
 use crate::dialect::{CallerHead, Dialect};
+use crate::in_progress::{Phase, Progress};
 use crate::memory::{Denied, Hold, Memory};
 use crate::relay::{self, EventStream, StreamItem};
 use crate::response::{self, Body, Failure};
@@ -54,11 +55,11 @@
     first_byte: Option<Duration>,
     is_retry: bool,
     is_finished: bool,
+    progress: Arc<Progress>,
 }
 
 impl<D: Dialect, S: Store> RequestGuard<D, S> {
     fn new(shared: &Arc<Shared<D, S>>, arrived: Uptime) -> Self {
-        shared.start_request();
         Self {
             shared: shared.clone(),
             request: String::new(),
@@ -68,6 +69,7 @@
             first_byte: None,
             is_retry: false,
             is_finished: false,
+            progress: shared.in_progress.open(arrived),
         }
     }
 
@@ -98,6 +100,7 @@
             first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64),
             is_retry = self.is_retry,
             took_ms = self.elapsed().as_millis() as u64,
+            phase = self.progress.phase().as_str(),
             outcome,
             "request ended"
         );
@@ -114,7 +117,7 @@
         if !self.is_finished {
             self.record(0, "caller_left", None);
         }
-        self.shared.end_request();
+        self.shared.in_progress.close(&self.progress);
     }
 }
 
@@ -162,6 +165,7 @@
         |reason: String| Failure::new(StatusCode::BAD_REQUEST, reason).closing_connection();
     let head = D::read_caller(&parts.headers).map_err(|err| bad_request(err.to_string()))?;
     guard.request.clone_from(&head.request);
+    guard.progress.set_request(&head.request);
     let host = check_framing(parts).map_err(|reason| bad_request(reason.to_owned()))?;
     let not_ready = |reason: &str| Failure::refused(reason, NOT_READY_RETRY_AFTER);
     let Some(adopted) = shared.adopted.load_full() else {
@@ -176,6 +180,7 @@
     guard.version = adopted.routing.version;
     let (route, customer) = authorize(shared, &adopted, host, parts.uri.path(), &head)?;
     guard.route.clone_from(&route.name);
+    guard.progress.set_route(&route.name);
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = guard.arrived + timeout;
     let is_retry = head.timeout.is_some_and(|timeout| {
@@ -187,8 +192,12 @@
         shared.metrics.caller_retries.add(1, &labels);
     }
     let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
-    let body =
-        read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory).await?;
+    let response_time = shared.durations.estimate_response(&route.name, route.latency_objective);
+    let body = tokio::select! {
+        biased;
+        body = read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory) => body,
+        () = shared.stop.too_late_for(response_time) => Err(Failure::stopping().closing_connection()),
+    }?;
     let pool = route.pool(routes::hash_point(&head.request)).clone();
     shared.count_request(&pool);
     shared.count_repeatable(route.repeat);
@@ -221,6 +230,7 @@
         begun: None,
         tried: HashSet::new(),
         race: None,
+        progress: guard.progress.clone(),
     })
 }
 
@@ -381,30 +391,30 @@
     Ok(())
 }
 
-/// Runs a request and returns the response, or a failure when the deadline passes first.
+/// Runs a request and returns the response, or a failure when its deadline or the stop time of the gateway passes first.
 async fn respond<D: Dialect, S: Store>(
     mut attempts: Attempts<D, S>,
     mut guard: RequestGuard<D, S>,
 ) -> Response<Body> {
+    let shared = attempts.shared.clone();
     let time_left = attempts.deadline.saturating_sub(boottime::now());
-    let result = time::timeout(time_left, execute(&mut attempts)).await;
+    let result = tokio::select! {
+        biased;
+        result = execute(&mut attempts) => result,
+        () = time::sleep(time_left) => Err(attempts.deadline_failure()),
+        () = shared.stop.out_of_time() => Err(attempts.stop_failure()),
+    };
     let failure = match result {
-        Ok(Ok(TargetResponse::Full { status, response, target })) => {
+        Ok(TargetResponse::Full { status, response, target }) => {
             guard.on_first_byte();
             guard.finish(status, "answered", Some(&target));
             return response;
         }
-        Ok(Ok(TargetResponse::Stream { head, first_events, stream })) => {
+        Ok(TargetResponse::Stream { head, first_events, stream }) => {
             guard.on_first_byte();
             return stream_response(head, first_events, stream, attempts, guard);
         }
-        Ok(Err(failure)) => failure,
-        Err(_) if attempts.total_runs() > 0 => {
-            Failure::new(StatusCode::GATEWAY_TIMEOUT, "the target did not answer in time")
-        }
-        Err(_) => {
-            Failure::new(StatusCode::SERVICE_UNAVAILABLE, "the request could not be run in time")
-        }
+        Err(failure) => failure,
     };
     failure_response(&failure, guard)
 }
@@ -432,6 +442,8 @@
 async fn execute<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
 ) -> Result<TargetResponse, Failure> {
+    attempts.progress.set_phase(Phase::Checks);
+    attempts.check_stop()?;
     attempts.check_quarantine().await?;
     attempts.find_origin().await?;
     attempts.check_targets()?;
@@ -582,7 +594,8 @@
     if parts.status.is_server_error() {
         sent.on_failure()
     } else {
-        sent.on_success()
+        sent.on_success();
+        attempts.observe_response(sent.sent_at());
     }
     let mut response = response::full(parts.status, body);
     *response.headers_mut() = attempts::end_to_end_headers(&parts.headers);
@@ -630,6 +643,7 @@
         Some(first_events) => {
             // The channel is empty, so this doesn't fail.
             let _ = tx.try_send(Ok(first_events));
+            attempts.progress.set_phase(Phase::Stream);
             let deadline = attempts.deadline;
             tokio::spawn(relay::run(stream, attempts, tx, deadline, guard));
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::marker::PhantomData;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -27,6 +27,7 @@
 use crate::dialect::Dialect;
 use crate::evacuations::Evacuations;
 use crate::hedging::Hedging;
+use crate::in_progress::InProgress;
 use crate::learned_durations::LearnedDurations;
 use crate::limits::Limits;
 use crate::load_reports::{self, SharedLoad};
@@ -40,6 +41,7 @@
 use crate::request;
 use crate::stage_connections::StageConnections;
 use crate::stage_runner::ReleaseQueue;
+use crate::stop::StopSignal;
 use crate::target_relay;
 use crate::targets::{self, TargetTable};
 
@@ -101,7 +103,7 @@
     pub(crate) durations: LearnedDurations,
     pub(crate) metrics: Metrics,
     pub(crate) odd_objects: OddObjects,
-    pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) stop: StopSignal,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: watch::Sender<bool>,
     /// When the store last answered a watch, by kind of objects.
@@ -133,7 +135,8 @@
     reported_versions: Mutex<BTreeMap<(Name, SoftwareVersion), u64>>,
     /// Memory that is left for responses that are being gathered, in bytes.
     pub(crate) gathered_bytes: Semaphore,
-    in_flight: AtomicUsize,
+    /// Requests of callers in progress.
+    pub(crate) in_progress: InProgress,
     dialect: PhantomData<D>,
 }
 
@@ -171,7 +174,7 @@
             durations: LearnedDurations::default(),
             metrics,
             odd_objects: OddObjects::default(),
-            stopping: watch::Sender::new(false),
+            stop: StopSignal::default(),
             has_targets: watch::Sender::new(false),
             store_answers: Mutex::default(),
             store_service: Mutex::default(),
@@ -189,7 +192,7 @@
             budgets: Mutex::default(),
             reported_versions: Mutex::default(),
             gathered_bytes: Semaphore::new(request::MAX_GATHERED_BYTES),
-            in_flight: AtomicUsize::new(0),
+            in_progress: InProgress::default(),
             dialect: PhantomData,
         }
     }
@@ -455,7 +458,7 @@
 
     /// Returns whether the process was asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.stop.has_begun()
     }
 
     /// Returns whether this gateway accepts callers.
@@ -573,17 +576,4 @@
         }
         self.metrics.text()
     }
-
-    /// Returns the number of requests in progress.
-    pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn start_request(&self) {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(crate) fn end_request(&self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
 }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -192,10 +192,10 @@
     is_leaving: AtomicBool,
     /// Delay before each plain response and the first event of each stream, in addition to that of the options.
     extra_delay: Mutex<Duration>,
-    /// Time by which each call of pieces takes longer than the options say.
-    extra_call_duration: Mutex<Duration>,
     /// Value of `Retry-After` with which the replica refuses all requests.
     pause: Mutex<Option<String>>,
+    /// Delays of calls with pieces of a stage, by its index, in addition to the duration of the options.
+    stage_delays: Mutex<HashMap<u64, Duration>>,
     call_fault: Mutex<Option<CallFault>>,
     /// Number of the next calls of pieces that find no room for any result.
     full_calls: AtomicUsize,
@@ -336,9 +336,9 @@
         *self.state.extra_delay.lock() = delay;
     }
 
-    /// Lets each call of pieces take longer from now on.
-    pub fn set_extra_call_duration(&self, duration: Duration) {
-        *self.state.extra_call_duration.lock() = duration;
+    /// Delays each stage call with pieces of a stage from now on.
+    pub fn set_stage_delay(&self, stage: u64, delay: Duration) {
+        self.state.stage_delays.lock().insert(stage, delay);
     }
 
     /// Returns the work on requests and pieces that has ended, in the order of the ends.
@@ -580,10 +580,9 @@
         let body: Value = serde_json::from_slice(&run.body).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
         self.state.stage_call_sizes.lock().push(items.len());
-        let extra = *self.state.extra_call_duration.lock();
         let ids = items.iter().filter_map(|item| item["id"].as_str());
         let working: Vec<_> = ids.map(|request| WorkGuard::new(&self.state, request)).collect();
-        time::sleep(self.options.stage_call_duration + extra).await;
+        time::sleep(self.options.stage_call_duration + self.stage_delay(&items)).await;
         drop(working);
         let decrement = |count: usize| count.checked_sub(1);
         let order = Ordering::SeqCst;
@@ -606,6 +605,13 @@
         self.respond_to_call(reply).await
     }
 
+    /// Returns the longest delay of the stages of some pieces.
+    fn stage_delay(&self, items: &[Value]) -> Duration {
+        let delays = self.state.stage_delays.lock();
+        let stages = items.iter().filter_map(|item| item["stage"].as_u64());
+        stages.filter_map(|stage| delays.get(&stage).copied()).max().unwrap_or_default()
+    }
+
     /// Sends the last reply to a call once more.
     async fn repeat_reply(&mut self) -> std::io::Result<()> {
         match self.last_reply.clone() {
