--- a/crates/gateway/src/batcher.rs
+++ b/crates/gateway/src/batcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +24,7 @@
 use crate::announcements;
 use crate::dialect::{Dialect, LimitStatement, Piece, PieceError, PieceResult, ReplyHead};
 use crate::limits::{self, Demand};
+use crate::members::Owner;
 use crate::shared::Shared;
 use crate::stage_connections::{self, Peer, Purpose, Reply, Timeouts};
 use crate::targets::TrackedTarget;
@@ -79,6 +80,8 @@
     remaining: usize,
     first_result_at: Option<Uptime>,
     failure: Option<PieceFailure>,
+    /// Whether the job was returned without having run any of it.
+    is_returned: bool,
 }
 
 impl Job {
@@ -103,6 +106,15 @@
         self.finished.notify_one();
     }
 
+    fn return_unrun(&self) {
+        self.state.lock().is_returned = true;
+        self.finished.notify_one();
+    }
+
+    fn is_returned(&self) -> bool {
+        self.state.lock().is_returned
+    }
+
     fn outcome(&self, now: Uptime) -> Option<StageDone> {
         let state = self.state.lock();
         if state.failure.is_none() && state.remaining > 0 {
@@ -165,6 +177,17 @@
 pub(crate) struct Batcher {
     pools: Mutex<HashMap<Name, PoolState>>,
     next_job_number: AtomicU64,
+    /// Number of stages that run for peers.
+    peer_stages: AtomicUsize,
+}
+
+/// A stage that runs for a peer; it counts until this is dropped.
+pub(crate) struct PeerStage<'a>(&'a Batcher);
+
+impl Drop for PeerStage<'_> {
+    fn drop(&mut self) {
+        self.0.peer_stages.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Batcher {
@@ -172,24 +195,35 @@
     pub(crate) fn queued_count(&self) -> usize {
         self.pools.lock().values().map(|state| state.queue.len()).sum()
     }
+
+    pub(crate) fn start_peer_stage(&self) -> PeerStage<'_> {
+        self.peer_stages.fetch_add(1, Ordering::Relaxed);
+        PeerStage(self)
+    }
+
+    /// Returns whether stages run for peers.
+    pub(crate) fn has_peer_stages(&self) -> bool {
+        self.peer_stages.load(Ordering::Relaxed) > 0
+    }
 }
 
 fn stage_pool<D: Dialect, S>(shared: &Shared<D, S>, pool: &str) -> Option<StagePool> {
     shared.adopted.load().as_ref()?.routing.pools.get(pool)?.stage.clone()
 }
 
-/// Runs a stage. Dropping the future cancels the pieces that have not been sent.
+/// Runs a stage; returns `None` if this gateway is being stopped and has not begun it. Dropping the future cancels the pieces
+/// that have not been sent.
 pub(crate) async fn run<D: Dialect, S: Store>(
     shared: &Arc<Shared<D, S>>,
     req: RunStage,
-) -> StageDone {
+) -> Option<StageDone> {
     let now = boottime::now();
     if req.pieces > MAX_PIECES
         || shared.targets.in_pool(&req.pool).is_empty()
         || stage_pool(shared, &req.pool).is_none()
     {
         let failure = Some(PieceFailure::Overloaded);
-        return StageDone { handles: Vec::new(), age_ms: 0, failure };
+        return Some(StageDone { handles: Vec::new(), age_ms: 0, failure });
     }
     let due = if req.due_ms >= 0 {
         now + Duration::from_millis(req.due_ms as u64)
@@ -208,6 +242,7 @@
             remaining: pieces as usize,
             first_result_at: None,
             failure: None,
+            is_returned: false,
         }),
         finished: Notify::new(),
         is_cancelled: AtomicBool::new(false),
@@ -225,13 +260,30 @@
     }
     dispatch(shared, &pool);
     loop {
-        if let Some(done) = job.outcome(boottime::now()) {
+        let done = job.outcome(boottime::now());
+        if done.is_some() || job.is_returned() {
             return done;
         }
         job.finished.notified().await;
     }
 }
 
+/// Returns the queued stages of pools that other gateways own now, as far as none of their pieces has been sent. The others are
+/// finished here, since their results would be lost.
+pub(crate) fn hand_over<D: Dialect, S>(shared: &Shared<D, S>) {
+    let mut pools = shared.batcher.pools.lock();
+    for (pool, state) in pools.iter_mut() {
+        if matches!(shared.members.owner(pool), Owner::Local) {
+            continue;
+        }
+        let pieces = state.queue.dequeue_whole_groups(|ticket| ticket.job.req.pieces as usize);
+        tracing::info!(pool, pieces = pieces.len(), kept = state.queue.len(), "pool handed over");
+        for piece in pieces {
+            piece.ticket.job.return_unrun();
+        }
+    }
+}
+
 fn queued_piece(ticket: Ticket) -> QueuedPiece<Ticket> {
     let job = &ticket.job;
     QueuedPiece {
