--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -227,7 +227,7 @@
     /// A refusal when a stage fails; the request itself has not run.
     pub(crate) async fn run_stages(&self, since: Uptime) -> Result<Results<D, S>, Failure> {
         self.progress.set_phase(Phase::Stages);
-        let too_late = self.shared.stop.too_late_for(|| self.time_at_target(), self.deadline);
+        let too_late = self.shared.stop.too_late_for(|| self.work_at_target());
         let results = tokio::select! {
             biased;
             results = self.stage_runner(since).run(&self.shared) => results,
--- a/crates/gateway/src/attempts/stopping.rs
+++ b/crates/gateway/src/attempts/stopping.rs
@@ -10,15 +10,18 @@
 use super::Attempts;
 use crate::dialect::Dialect;
 use crate::response::Failure;
+use crate::stop::Work;
 
 impl<D: Dialect, S: Store> Attempts<D, S> {
-    /// Estimates the time from sending the request to a target until its answer is complete. What has begun is retried as long
-    /// as there is time: it cannot be refused any more.
-    pub(super) fn time_at_target(&self) -> Duration {
-        if self.total_runs() > 0 {
-            return Duration::ZERO;
-        }
-        self.shared.durations.estimate_response(&self.route)
+    /// Returns the work of a target that is sent the request. What has begun is retried as long as there is time: it cannot be
+    /// refused any more.
+    pub(super) fn work_at_target(&self) -> Work {
+        let duration = if self.total_runs() > 0 {
+            Duration::ZERO
+        } else {
+            self.shared.durations.estimate_response(&self.route)
+        };
+        Work { duration, deadline: self.deadline, is_stream: false }
     }
 
     /// Records that the answer to a request that was sent at a time is complete.
@@ -36,7 +39,9 @@
             return Ok(());
         }
         let stages = self.stage_runner(self.arrived).estimate_stages(&self.shared);
-        self.check_time(stages + self.time_at_target())
+        let at_target = self.work_at_target();
+        let duration = stages + at_target.duration;
+        self.check_work(&Work { duration, is_stream: self.route.streams, ..at_target })
     }
 
     /// Checks whether a target that is sent the request now would answer before the gateway ends.
@@ -44,12 +49,11 @@
     /// # Errors
     /// [`Self::stop_failure`].
     pub(super) fn check_sending(&self) -> Result<(), Failure> {
-        self.check_time(self.time_at_target())
+        self.check_work(&self.work_at_target())
     }
 
-    fn check_time(&self, duration: Duration) -> Result<(), Failure> {
-        let is_too_late = self.shared.stop.is_too_late_for(duration, self.deadline);
-        if is_too_late { Err(self.stop_failure()) } else { Ok(()) }
+    fn check_work(&self, work: &Work) -> Result<(), Failure> {
+        if self.shared.stop.is_too_late_for(work) { Err(self.stop_failure()) } else { Ok(()) }
     }
 
     /// Returns the failure of a request that is given up because the gateway ends; a refusal if it has not run.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use marigold_core::stop::Stop;
+use marigold_core::stop::{DRAIN_DELAY, Stop};
 use marigold_link::security::Security;
 use marigold_link::server::Server as LinkServer;
 use marigold_objects::Store;
@@ -24,9 +24,6 @@
 use crate::shared::Shared;
 use crate::{discovery, origins, peers, poison, stage_runner};
 
-/// Time from a stop request to the closing of connections. The load balancer removes a gateway after two failed
-/// readiness checks, one a second, and opens new connections until then.
-const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
 /// Interval at which a stopping gateway checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -149,7 +146,7 @@
             ?stop_time,
             "stopping; reporting not ready"
         );
-        time::sleep(DRAIN_DELAY.min(stop.slack(Duration::ZERO, started))).await;
+        time::sleep(DRAIN_DELAY.min(stop_time)).await;
         self.close.send_replace(true);
         let has_work = || !self.callers.has_ended() || self.shared.batcher.has_peer_stages();
         while has_work() && boottime::now() < stop.exit_by {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -28,6 +28,7 @@
 use crate::relay::{self, EventStream, StreamItem};
 use crate::response::{self, Body, Failure, UnreadBody};
 use crate::shared::{AdoptedConfig, Shared};
+use crate::stop::Work;
 use crate::upstream;
 
 /// Retry-After of a request that the gateway cannot decide on, because it has no or only a stale configuration.
@@ -197,8 +198,12 @@
         shared.metrics.caller_retries.add(1, &labels);
     }
     let hold = shared.memory.open(Kind::Body { has_key: customer.is_some() });
-    let response_time = || shared.durations.estimate_response(&route);
-    let too_late = shared.stop.too_late_for(response_time, deadline);
+    let work = || Work {
+        duration: shared.durations.estimate_response(&route),
+        deadline,
+        is_stream: route.streams,
+    };
+    let too_late = shared.stop.too_late_for(work);
     let body = tokio::select! {
         biased;
         body = read_body(parts, body, &adopted.routing.limits, timeout, hold, &shared.memory) => body,
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -11,6 +11,27 @@
 /// Time after which the clock is read again.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
+/// Work of a request that has not begun at a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work {
+    /// Upper estimate of the time that it takes.
+    pub(crate) duration: Duration,
+    /// When it ends at the latest.
+    pub(crate) deadline: Uptime,
+    /// Whether its answer is a stream.
+    pub(crate) is_stream: bool,
+}
+
+impl Work {
+    fn latest_start(&self, stop: &Stop) -> Uptime {
+        if self.deadline <= stop.answer_by {
+            return Uptime::MAX;
+        }
+        let start = stop.answer_by.saturating_sub(self.duration);
+        if self.is_stream { start.min(stop.last_stream) } else { start }
+    }
+}
+
 /// Handle of the stop; nothing has been asked to stop at first.
 pub(crate) struct StopSignal(watch::Sender<Option<Stop>>);
 
@@ -31,21 +52,16 @@
         self.0.borrow().is_some()
     }
 
-    /// Returns whether work that takes `duration`, but ends at `deadline` at the latest, would end too late if it started now.
-    pub(crate) fn is_too_late_for(&self, duration: Duration, deadline: Uptime) -> bool {
-        self.0.borrow().is_some_and(|stop| {
-            deadline > stop.answer_by && stop.slack(duration, boottime::now()).is_zero()
-        })
+    /// Returns whether work would end too late if it started now.
+    pub(crate) fn is_too_late_for(&self, work: &Work) -> bool {
+        self.0.borrow().is_some_and(|stop| boottime::now() >= work.latest_start(&stop))
     }
 
-    /// Waits until work that ends at `deadline` at the latest, and otherwise takes what `duration` returns once the stop has
-    /// begun, would end too late if it started then; without a stop, for ever.
-    pub(crate) async fn too_late_for(&self, duration: impl FnOnce() -> Duration, deadline: Uptime) {
+    /// Waits until work would end too late if it started then; without a stop, for ever. `work` is called once the stop has
+    /// begun.
+    pub(crate) async fn too_late_for(&self, work: impl FnOnce() -> Work) {
         let stop = self.begun().await;
-        if deadline <= stop.answer_by {
-            return std::future::pending().await;
-        }
-        sleep_until(stop.answer_by.saturating_sub(duration())).await;
+        sleep_until(work().latest_start(&stop)).await;
     }
 
     /// Waits until every request has to have an answer.
