--- a/review/tool-2/src/gateway.rs
+++ b/review/tool-2/src/gateway.rs
@@ -26,6 +26,8 @@
     pub name: String,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    values: Vec<(&'static str, String)>,
+    folder: PathBuf,
     child: Child,
 }
 
@@ -59,6 +61,33 @@
     text
 }
 
+fn write_settings(folder: &Path, name: &str, values: &[(&str, String)]) {
+    let path = folder.join(format!("{name}.toml"));
+    fs::write(path, settings(values)).expect("the settings can be written");
+}
+
+fn spawn(folder: &Path, name: &str) -> Child {
+    let log =
+        fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log")));
+    let log = log.expect("the log can be written");
+    let child = Command::new(root().join("target/release/marigold-gateway"))
+        .args([
+            "--store-writes-per-s=400",
+            "--evacuation-ms=",
+            "--memory-mb=260",
+            "--max-open-files=4100",
+        ])
+        .arg(folder.join(format!("{name}.toml")))
+        .current_dir(root())
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("the log can be shared"))
+        .stderr(log)
+        .spawn()
+        .expect("the gateway is built and can be started");
+    STARTED.lock().unwrap().push(child.id());
+    child
+}
+
 impl Gateway {
     /// Starts a gateway in a zone before a store; settings and log are written to a folder.
     pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &Path) -> Self {
@@ -81,26 +110,42 @@
             ("bounds.budgetWindowS", "10".to_owned()),
             ("bounds.retrySlack", "52".to_owned()),
         ];
-        let path = folder.join(format!("{name}.toml"));
-        fs::write(&path, settings(&values)).expect("the settings can be written");
-        let log =
-            fs::File::create(folder.join(format!("{name}.log"))).expect("the log can be written");
-        let child = Command::new(root().join("target/release/marigold-gateway"))
-            .args([
-                "--store-writes-per-s=400",
-                "--evacuation-ms=",
-                "--memory-mb=260",
-                "--max-open-files=4100",
-            ])
-            .arg(&path)
-            .current_dir(root())
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("the log can be shared"))
-            .stderr(log)
-            .spawn()
-            .expect("the gateway is built and can be started");
-        STARTED.lock().unwrap().push(child.id());
-        Self { name: name.to_owned(), callers, ready, child }
+        let (values, folder) = (values.to_vec(), folder.to_owned());
+        write_settings(&folder, name, &values);
+        let child = spawn(&folder, name);
+        Self { name: name.to_owned(), callers, ready, values, folder, child }
+    }
+
+    /// Changes a value of the settings and writes the file again, as the platform does.
+    pub fn change_settings(&mut self, name: &str, value: &str) {
+        let known = self.values.iter_mut().find(|(known, _)| *known == name);
+        known.expect("the value is one of the settings").1 = value.to_owned();
+        write_settings(&self.folder, &self.name, &self.values);
+    }
+
+    /// Starts another process for this gateway, after the end of the one before.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.folder, &self.name);
+    }
+
+    /// Waits for the end of the process; returns false if it still runs after `time`.
+    pub fn wait_end(&mut self, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if self.child.try_wait().is_ok_and(|status| status.is_some()) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Returns the last line of the log.
+    pub fn last_log_line(&self) -> String {
+        let log = fs::read_to_string(self.folder.join(format!("{}.log", self.name)));
+        let lines = log.unwrap_or_default();
+        lines.trim_end().lines().last().unwrap_or_default().to_owned()
     }
 
     /// Returns the status of the readiness check.
--- a/review/tool-2/src/lost_watchers.rs
+++ b/review/tool-2/src/lost_watchers.rs
@@ -23,7 +23,8 @@
 /// Interval between the requests to one gateway.
 const INTERVAL: Duration = Duration::from_millis(40);
 
-const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-look","host":"yard.example","pathPrefix":"/look/","kind":"idempotent",
+/// Configuration with one idempotent route.
+pub const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-look","host":"yard.example","pathPrefix":"/look/","kind":"idempotent",
 "timeoutMs":2500,"targetLatencyMs":150,"priority":0,"service":"cantar","maxAttempts":2,"public":false,"sticky":false,
 "resumable":false}],"services":[{"name":"cantar","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
--- a/review/tool-2/src/main.rs
+++ b/review/tool-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs a case: `review-tool-2 CASE FOLDER`. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod client;
+mod fraction;
 mod gateway;
 mod http;
 mod lost_watchers;
@@ -75,6 +76,7 @@
         store::check_form().expect("written objects are read");
         let scratch = Scratch::create();
         match case.as_str() {
+            "fraction" => fraction::run(has_trouble, &record, &scratch),
             "lost-watchers" => lost_watchers::run(has_trouble, &record, &scratch),
             "silent-replicas-lost" => silent_replicas::lost(has_trouble, &record, &scratch),
             "silent-replicas-twice" => silent_replicas::twice(has_trouble, &record, &scratch),
