--- a/review/tool-2/src/gateway.rs
+++ b/review/tool-2/src/gateway.rs
@@ -37,9 +37,11 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+/// Returns four different free addresses.
+fn free_addrs() -> [SocketAddr; 4] {
+    let listeners: [TcpListener; 4] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("the listener has an address"))
 }
 
 /// Returns the root of the repository.
@@ -91,7 +93,7 @@
 impl Gateway {
     /// Starts a gateway in a zone before a store; settings and log are written to a folder.
     pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &Path) -> Self {
-        let [callers, ready, link, metrics] = std::array::from_fn(|_| free_addr());
+        let [callers, ready, link, metrics] = free_addrs();
         let values = [
             ("nodeName", name.to_owned()),
             ("zone", zone.to_owned()),
