--- a/review/tool-2/src/main.rs
+++ b/review/tool-2/src/main.rs
@@ -4,6 +4,7 @@
 mod fraction;
 mod gateway;
 mod http;
+mod late_entry;
 mod lost_watchers;
 mod record;
 mod replica;
@@ -77,6 +78,7 @@
         let scratch = Scratch::create();
         match case.as_str() {
             "fraction" => fraction::run(has_trouble, &record, &scratch),
+            "late-entry" => late_entry::run(has_trouble, &record, &scratch),
             "lost-watchers" => lost_watchers::run(has_trouble, &record, &scratch),
             "silent-replicas-lost" => silent_replicas::lost(has_trouble, &record, &scratch),
             "silent-replicas-twice" => silent_replicas::twice(has_trouble, &record, &scratch),
