--- a/review/tool-2/src/late_entry.rs
+++ b/review/tool-2/src/late_entry.rs
@@ -72,10 +72,10 @@
         .collect();
     thread::sleep(Duration::from_secs(4));
     let replica = &replicas[0];
-    let entry = |state: &str, born: u64| {
+    let entry = |state: &str, born: u64, sequence: u64| {
         format!(
             "{{\"service\":\"cantar\",\"address\":\"{}\",\"zone\":\"braila-a\",\"version\":\"v1\",\"slots\":6,\
-             \"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":{born}}}",
+             \"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{born}}}",
             replica.addr
         )
     };
@@ -86,22 +86,22 @@
         thread::sleep(until.saturating_duration_since(Instant::now()));
     };
     wait(STARTED_MS);
-    store.put("servers", &replica.id, &entry("ready", SECOND_START));
+    store.put("servers", &replica.id, &entry("ready", SECOND_START, 1));
     record.line(format!("{} has started again, born {SECOND_START}: ready", replica.id));
     wait(DRAINING_MS);
-    store.put("servers", &replica.id, &entry("draining", SECOND_START));
+    store.put("servers", &replica.id, &entry("draining", SECOND_START, 4));
     let confirmed = record.line(format!("the store confirms that {} is draining", replica.id));
     for beat in 1..=2 {
         wait(DRAINING_MS + beat * HEARTBEAT_MS);
-        store.put("servers", &replica.id, &entry("draining", SECOND_START));
+        store.put("servers", &replica.id, &entry("draining", SECOND_START, 4 + beat));
     }
     if has_trouble {
         wait(DONE_MS);
-        store.put("servers", &replica.id, &entry("ready", FIRST_START));
+        store.put("servers", &replica.id, &entry("ready", FIRST_START, 9));
         record.line(format!("the write without an answer is done, born {FIRST_START}: ready"));
     }
     wait(DRAINING_MS + 3 * HEARTBEAT_MS);
-    store.put("servers", &replica.id, &entry("draining", SECOND_START));
+    store.put("servers", &replica.id, &entry("draining", SECOND_START, 7));
     record.line(format!("{} writes its entry: draining", replica.id));
     wait(END_MS);
     stop.store(true, Ordering::Relaxed);
