--- a/review/tool-2/src/gateway.rs
+++ b/review/tool-2/src/gateway.rs
@@ -37,11 +37,26 @@
     }
 }
 
-/// Returns four different free addresses.
+/// Next port to try for a gateway. Outgoing connections get ports above this range, so none takes one that was found free.
+static NEXT_PORT: Mutex<u16> = Mutex::new(0);
+
+/// Returns four free addresses.
 fn free_addrs() -> [SocketAddr; 4] {
-    let listeners: [TcpListener; 4] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("the listener has an address"))
+    const PORTS: std::ops::Range<u16> = 12_000..32_000;
+    let mut next = NEXT_PORT.lock().unwrap();
+    if *next == 0 {
+        // Runs side by side begin at different ports.
+        *next = PORTS.start + (std::process::id().wrapping_mul(61) % 19_000) as u16;
+    }
+    std::array::from_fn(|_| {
+        loop {
+            *next = if *next + 1 < PORTS.end { *next + 1 } else { PORTS.start };
+            let addr = SocketAddr::from(([127, 0, 0, 1], *next));
+            if TcpListener::bind(addr).is_ok() {
+                return addr;
+            }
+        }
+    })
 }
 
 /// Returns the root of the repository.
