--- a/review/tool-2/src/client.rs
+++ b/review/tool-2/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::http;
 
@@ -14,8 +14,6 @@
 /// End of a request, as its requester sees it.
 #[derive(Clone, Debug)]
 pub struct Answer {
-    pub sent: Instant,
-    pub ended: Instant,
     /// None if the channel ended without a head.
     pub status: Option<u16>,
     pub body: String,
@@ -48,15 +46,8 @@
         headers: &str,
         body: &str,
     ) -> Answer {
-        let sent = Instant::now();
-        let mut answer = Answer {
-            sent,
-            ended: sent,
-            status: None,
-            body: String::new(),
-            is_complete: false,
-            error: None,
-        };
+        let mut answer =
+            Answer { status: None, body: String::new(), is_complete: false, error: None };
         let length = if method == "POST" {
             format!("Content-Length: {}\r\n", body.len())
         } else {
@@ -68,7 +59,6 @@
         if let Err(err) = self.read(&text, &mut answer) {
             answer.error = Some(err.to_string());
         }
-        answer.ended = Instant::now();
         answer
     }
 
@@ -106,16 +96,8 @@
     match Channel::open(addr) {
         Ok(mut channel) => channel.exchange(method, path, id, headers, body),
         Err(err) => {
-            let now = Instant::now();
             let error = Some(format!("no channel: {err}"));
-            Answer {
-                sent: now,
-                ended: now,
-                status: None,
-                body: String::new(),
-                is_complete: false,
-                error,
-            }
+            Answer { status: None, body: String::new(), is_complete: false, error }
         }
     }
 }
--- a/review/tool-2/src/main.rs
+++ b/review/tool-2/src/main.rs
@@ -4,11 +4,11 @@
 mod fraction;
 mod gateway;
 mod http;
-mod late_entry;
+
 mod lost_watchers;
 mod record;
 mod replica;
-mod silent_replicas;
+mod restored_entry;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -78,10 +78,8 @@
         let scratch = Scratch::create();
         match case.as_str() {
             "fraction" => fraction::run(has_trouble, &record, &scratch),
-            "late-entry" => late_entry::run(has_trouble, &record, &scratch),
+            "restored-entry" => restored_entry::run(has_trouble, &record, &scratch),
             "lost-watchers" => lost_watchers::run(has_trouble, &record, &scratch),
-            "silent-replicas-lost" => silent_replicas::lost(has_trouble, &record, &scratch),
-            "silent-replicas-twice" => silent_replicas::twice(has_trouble, &record, &scratch),
             _ => Verdict::NotRun("no such case".to_owned()),
         }
     });
--- a/review/tool-2/src/replica.rs
+++ b/review/tool-2/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,18 +16,14 @@
 pub enum Behavior {
     /// A whole answer after some work.
     Whole { work: Duration },
-    /// A stream of events with a gap between two; after some of its events the first run is silent for longer, once.
-    /// A run that goes on reads the prompt again for some time before its first event.
-    Stream { events: u64, gap: Duration, silence: Option<(u64, Duration)>, reading: Duration },
+    /// A stream of events with a gap between two.
+    Stream { events: u64, gap: Duration },
 }
 
 /// What a replica did with a request.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub id: String,
     pub arrived: Instant,
-    /// When it stopped to work; none while it works.
-    pub ended: Option<Instant>,
 }
 
 /// A running replica.
@@ -36,6 +33,9 @@
     pub addr: SocketAddr,
     behavior: Behavior,
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Version of its software, which is in each event.
+    version: Arc<Mutex<String>>,
+    has_crashed: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -44,11 +44,21 @@
     pub fn start(id: &str, behavior: Behavior, record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let addr = listener.local_addr().expect("the listener has an address");
-        let (runs, record) = (Arc::default(), record.clone());
-        let replica = Self { id: id.to_owned(), addr, behavior, runs, record };
+        let replica = Self {
+            id: id.to_owned(),
+            addr,
+            behavior,
+            runs: Arc::default(),
+            version: Arc::new(Mutex::new("v1".to_owned())),
+            has_crashed: Arc::default(),
+            record: record.clone(),
+        };
         let running = replica.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if running.has_crashed.load(Ordering::Relaxed) {
+                    return;
+                }
                 let replica = running.clone();
                 thread::spawn(move || replica.serve(stream));
             }
@@ -66,6 +76,18 @@
         store.put("servers", &self.id, &spec);
     }
 
+    /// Sets the version of its software, for the runs that begin from now on.
+    pub fn set_version(&self, version: &str) {
+        *self.version.lock().unwrap() = version.to_owned();
+    }
+
+    /// Ends all work and all channels, and takes no new ones.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        // Ends the listener, which waits for a channel.
+        let _ = TcpStream::connect(self.addr);
+    }
+
     /// Returns all runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
@@ -89,13 +111,8 @@
                 head.word(0),
                 head.word(1)
             ));
-            let index = {
-                let mut runs = self.runs.lock().unwrap();
-                runs.push(Run { id: id.clone(), arrived, ended: None });
-                runs.len() - 1
-            };
+            self.runs.lock().unwrap().push(Run { arrived });
             let result = self.run(&head, &id, &mut writer);
-            self.runs.lock().unwrap()[index].ended = Some(Instant::now());
             if result.is_err() {
                 self.record
                     .line(format!("replica {}: the channel of {id} was closed at work", self.id));
@@ -114,50 +131,51 @@
                 let headers = [("Attempt-Id", id), ("Replica-Seal", seal.as_str())];
                 http::respond(writer, "200 OK", &headers, &format!("done {id}"))
             }
-            Behavior::Stream { events, gap, silence, reading } => {
+            Behavior::Stream { events, gap } => {
                 let last =
                     head.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
-                wait(writer, if last > 0 { reading } else { gap })?;
+                let version = self.version.lock().unwrap().clone();
+                self.wait(writer, gap)?;
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Seal: {seal}\r\n\
                      Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 );
                 writer.write_all(text.as_bytes())?;
                 for event in last + 1..=events {
-                    let text = format!("id: {event}\ndata: word {event} of {id}\n\n");
+                    let text = format!("id: {event}\ndata: word {event} of {id} by {version}\n\n");
                     write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
                     if event == events {
                         break;
                     }
-                    match silence {
-                        Some((after, time)) if last == 0 && event == after => wait(writer, time)?,
-                        _ => wait(writer, gap)?,
-                    }
+                    self.wait(writer, gap)?;
                 }
                 writer.write_all(b"0\r\n\r\n")
             }
         }
     }
-}
 
-/// Works for some time, and stops at once when the channel is closed, as most replicas do.
-fn wait(stream: &TcpStream, time: Duration) -> io::Result<()> {
-    let until = Instant::now() + time;
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Ok(());
-        }
-        stream.set_read_timeout(Some(left.min(Duration::from_millis(20))))?;
-        let peeked = stream.peek(&mut [0]);
-        stream.set_read_timeout(None)?;
-        match peeked {
-            Ok(0) => return Err(io::ErrorKind::ConnectionAborted.into()),
-            Ok(_) => thread::sleep(left.min(Duration::from_millis(20))),
-            Err(err) => match err.kind() {
-                io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {}
-                _ => return Err(err),
-            },
+    /// Works for some time, and stops at once when the channel is closed, as most replicas do, or at a crash.
+    fn wait(&self, stream: &TcpStream, time: Duration) -> io::Result<()> {
+        let until = Instant::now() + time;
+        loop {
+            if self.has_crashed.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            stream.set_read_timeout(Some(left.min(Duration::from_millis(20))))?;
+            let peeked = stream.peek(&mut [0]);
+            stream.set_read_timeout(None)?;
+            match peeked {
+                Ok(0) => return Err(io::ErrorKind::ConnectionAborted.into()),
+                Ok(_) => thread::sleep(left.min(Duration::from_millis(20))),
+                Err(err) => match err.kind() {
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {}
+                    _ => return Err(err),
+                },
+            }
         }
     }
 }
--- a/review/tool-2/src/store.rs
+++ b/review/tool-2/src/store.rs
@@ -9,6 +9,7 @@
 
 use crate::http;
 
+#[derive(Clone)]
 struct Object {
     revision: u64,
     created: u64,
@@ -28,10 +29,20 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     changes: Vec<Change>,
+    /// Number of times that it was restored from an older copy.
+    era: u64,
+    /// Whether it answers nobody.
+    is_away: bool,
     /// Watches of `servers` by port, with the times.
     watches: Vec<(usize, Instant)>,
 }
 
+/// Copy of a store.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+}
+
 /// A running store; each caller may have a port of its own.
 #[derive(Clone, Default)]
 pub struct Store(Arc<(Mutex<State>, Condvar)>);
@@ -68,6 +79,28 @@
         (0..ports).map(count).collect()
     }
 
+    /// Returns a copy of all objects.
+    pub fn copy(&self) -> Copy {
+        let state = self.0.0.lock().unwrap();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Answers nobody from now on.
+    pub fn leave(&self) {
+        self.0.0.lock().unwrap().is_away = true;
+        self.0.1.notify_all();
+    }
+
+    /// Answers again, from an older copy: what was written since is lost, and revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.0.0.lock().unwrap();
+        state.changes.retain(|change| change.revision <= copy.revision);
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.era += 1;
+        state.is_away = false;
+    }
+
     /// Writes an object, as the operator or a replica does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         self.write(kind, name, spec, None, None);
@@ -149,10 +182,14 @@
         )
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration) -> String {
+    /// Returns what has changed after a revision; `None` if the store does not have that one.
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> Option<String> {
         let until = Instant::now() + wait;
         let mut state = self.0.0.lock().unwrap();
         loop {
+            if after > state.revision {
+                return None;
+            }
             let changed: Vec<String> = state
                 .changes
                 .iter()
@@ -162,12 +199,12 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !changed.is_empty() || left.is_zero() {
-                return format!(
+            if !changed.is_empty() || left.is_zero() || state.is_away {
+                return Some(format!(
                     "{{\"events\":[{}],\"storeRevision\":{}}}",
                     changed.join(","),
                     state.revision
-                );
+                ));
             }
             state = self.0.1.wait_timeout(state, left).unwrap().0;
         }
@@ -179,8 +216,18 @@
         while let Ok(Some(head)) = http::read_head(&mut reader) {
             let body = http::read_body(&mut reader, &head).ok()?;
             let body = String::from_utf8_lossy(&body).into_owned();
+            if self.0.0.lock().unwrap().is_away {
+                return None;
+            }
             let (status, text) = self.answer(port, head.word(0), head.word(1), &body);
-            let headers = [("Content-Type", "application/json")];
+            let era = {
+                let state = self.0.0.lock().unwrap();
+                if state.is_away {
+                    return None;
+                }
+                state.era.to_string()
+            };
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             http::respond(&mut writer, status, &headers, &text).ok()?;
         }
         Some(())
@@ -208,7 +255,8 @@
                         self.0.0.lock().unwrap().watches.push((port, Instant::now()));
                     }
                     let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
-                    ("200 OK", self.watch(kind, after, wait))
+                    let events = self.watch(kind, after, wait);
+                    events.map_or(("410 Gone", "{}".to_owned()), |events| ("200 OK", events))
                 }
                 None => ("200 OK", self.list(kind)),
             },
