Gateways learn with each poll when the store has answered

Cause: a gateway that is no watcher does not call the store, and its polls brought only the proof that the list is current. Its last known answer of the store was as old as the last change, so its first own call looked like the end of an outage, after which vanished targets are kept for 2.2 s. The log shows it: store_up_ms 2201 in "missing targets removed" while the store was never out.

Polls now carry the period in which the store has answered any gateway; the question for it, which was asked only in a supposed outage, is gone. Other gateways than the watchers call without a wait time, which had stretched the pause to 2.3 of 2.4 s.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -187,7 +187,6 @@
             | Request::Release(_)
             | Request::Facts(_)
             | Request::ReadConfig(_)
-            | Request::ReadStoreService
             | Request::RecordOrigin(_)
             | Request::StoreOrigin(_)
             | Request::ReadOrigin(_)
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -68,7 +68,6 @@
             | Request::Release(_)
             | Request::Facts(_)
             | Request::ReadConfig(_)
-            | Request::ReadStoreService
             | Request::RecordOrigin(_)
             | Request::StoreOrigin(_)
             | Request::ReadOrigin(_)
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -61,6 +61,11 @@
     const KIND: &'static str;
     const WAIT: Duration;
 
+    /// Returns the wait time of the next call.
+    fn wait_time(&self, _shared: &Shared<D, S>) -> Duration {
+        Self::WAIT
+    }
+
     /// Applies changes after the version `after` that were requested at `sent`; without a version they are a full list of
     /// the objects of the kind.
     fn apply(&self, shared: &Arc<Shared<D, S>>, changes: Changes, after: Version, sent: Uptime);
@@ -111,7 +116,7 @@
         }
         let sent = boottime::now();
         // After a failure the store is asked for its state, which a watch without changes would delay.
-        let wait = if failures == 0 { F::WAIT } else { Duration::ZERO };
+        let wait = if failures == 0 { handler.wait_time(&shared) } else { Duration::ZERO };
         let mut era = shared.store_era.subscribe();
         let read = tokio::select! {
             read = shared.store.watch(F::KIND, after, wait) => read,
@@ -174,12 +179,22 @@
     }
 }
 
+/// Returns the wait time of a watcher, and none for other gateways. They call only when their proof is too old, and a store
+/// without changes would delay the new one until the pause looks like an outage.
+fn wait_time_of_watcher<D: Dialect, S>(shared: &Shared<D, S>, wait: Duration) -> Duration {
+    if shared.members.is_watcher() { wait } else { Duration::ZERO }
+}
+
 struct Config;
 
 impl<D: Dialect, S: Store> WatchHandler<D, S> for Config {
     const KIND: &'static str = D::CONFIG_KIND;
     const WAIT: Duration = CONFIG_WAIT;
 
+    fn wait_time(&self, shared: &Shared<D, S>) -> Duration {
+        wait_time_of_watcher(shared, CONFIG_WAIT)
+    }
+
     /// Watchers call at once. Other gateways call only if they have no configuration, or if the newest proof relayed by
     /// a watcher is too old.
     async fn wait_before_read(&self, shared: &Shared<D, S>, _last: LastRead) {
@@ -236,6 +251,10 @@
     const KIND: &'static str = D::TARGET_KIND;
     const WAIT: Duration = TARGETS_WAIT;
 
+    fn wait_time(&self, shared: &Shared<D, S>) -> Duration {
+        wait_time_of_watcher(shared, TARGETS_WAIT)
+    }
+
     /// As for the configuration: other gateways than the watchers call only if the list that they got from a watcher is too
     /// old.
     async fn wait_before_read(&self, shared: &Shared<D, S>, last: LastRead) {
--- a/crates/gateway/src/discovery/evacuations.rs
+++ b/crates/gateway/src/discovery/evacuations.rs
@@ -9,7 +9,7 @@
 use marigold_schema::messages;
 use tokio::time;
 
-use super::{LastRead, MIN_AGE_CHECK_INTERVAL, WatchHandler};
+use super::{LastRead, MIN_AGE_CHECK_INTERVAL, WatchHandler, wait_time_of_watcher};
 use crate::batcher;
 use crate::dialect::Dialect;
 use crate::shared::Shared;
@@ -26,6 +26,10 @@
     const KIND: &'static str = D::EVACUATION_KIND;
     const WAIT: Duration = WAIT;
 
+    fn wait_time(&self, shared: &Shared<D, S>) -> Duration {
+        wait_time_of_watcher(shared, WAIT)
+    }
+
     async fn wait_before_read(&self, shared: &Shared<D, S>, _last: LastRead) {
         while !shared.members.is_watcher() {
             let age = shared.evacuations.age(boottime::now());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -327,6 +327,10 @@
         return;
     }
     shared.members.on_facts(&facts);
+    // Before the targets are read: entries that expired in an outage are kept for a while.
+    if let Some(service) = &facts.store_service {
+        merge_store_service(&shared, service, sent);
+    }
     if let Some(state) = &facts.targets
         && let Err(err) = sync_targets(&shared, &member, state, sent).await
     {
@@ -336,9 +340,6 @@
     shared.merge_total_in_flight(facts.total_in_flight.clone());
     discovery::merge_evacuations(&shared, facts.evacuations.as_ref(), sent);
     spread::sync(&shared, &member, facts.quarantines).await;
-    if !shared.remaining_grace_period(boottime::now()).is_zero() {
-        read_store_service(&shared, &member).await;
-    }
     if let Err(err) = sync_config(&shared, &member, &facts, sent).await {
         tracing::warn!(
             member = member.name,
@@ -349,16 +350,6 @@
     }
 }
 
-async fn read_store_service<D: Dialect, S: Store>(shared: &Shared<D, S>, member: &Member) {
-    let sent = boottime::now();
-    match exchange(member, &Request::ReadStoreService, REPLY_TIMEOUT).await {
-        Ok(Reply::StoreService(service)) => merge_store_service(shared, &service, sent),
-        // Gateways without this request refuse it, as do those that the store has not answered.
-        Ok(_) => {}
-        Err(err) => tracing::debug!(member = member.name, err, "period of the store not read"),
-    }
-}
-
 /// Adds what a peer knows of the store's service. The peer determined the ages between the request, sent at `sent`, and its
 /// reply; the period is taken as short as that allows.
 fn merge_store_service<D: Dialect, S: Store>(
@@ -517,13 +508,6 @@
                 let facts = GatewayFacts { total_in_flight, ..shared.facts() };
                 replies.send(&Reply::Facts(facts)).await?;
             }
-            Request::ReadStoreService => {
-                let reply = match shared.store_service() {
-                    Some(service) => Reply::StoreService(service),
-                    None => Reply::Refused("the store has not answered".to_owned()),
-                };
-                replies.send(&reply).await?;
-            }
             Request::AskLimit(ask) => {
                 replies.send(&Reply::LimitGrant(limits::answer(shared, ask))).await?;
             }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -432,6 +432,7 @@
             quarantines: self.poison.digest(),
             targets: target_relay::state(&self.target_changes.lock(), now),
             evacuations: self.evacuations.message(now),
+            store_service: self.store_service(),
             in_flight: Vec::new(),
             total_in_flight: Vec::new(),
         }
--- a/crates/schema/src/messages.rs
+++ b/crates/schema/src/messages.rs
@@ -861,6 +861,10 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "store_service": {
+///      "description": "Period in which the store has answered, so that a gateway which does not call it can tell that there was no outage; absent before the first answer.",
+///      "$ref": "#/definitions/StoreService"
+///    },
 ///    "targets": {
 ///      "description": "State of the list of targets; absent before it was read.",
 ///      "$ref": "#/definitions/TargetsState"
@@ -897,6 +901,9 @@
     pub proof_age_ms: ::std::option::Option<u64>,
     ///Hash of the quarantines that the gateway knows; zero if there are none.
     pub quarantines: u64,
+    ///Period in which the store has answered, so that a gateway which does not call it can tell that there was no outage; absent before the first answer.
+    #[serde(default)]
+    pub store_service: ::std::option::Option<StoreService>,
     ///State of the list of targets; absent before it was read.
     #[serde(default)]
     pub targets: ::std::option::Option<TargetsState>,
@@ -2033,18 +2040,6 @@
 ///    {
 ///      "type": "object",
 ///      "required": [
-///        "store_service"
-///      ],
-///      "properties": {
-///        "store_service": {
-///          "$ref": "#/definitions/StoreService"
-///        }
-///      },
-///      "additionalProperties": false
-///    },
-///    {
-///      "type": "object",
-///      "required": [
 ///        "limit_grant"
 ///      ],
 ///      "properties": {
@@ -2130,8 +2125,6 @@
     Config(ConfigText),
     #[serde(rename = "refused")]
     Refused(::std::string::String),
-    #[serde(rename = "store_service")]
-    StoreService(StoreService),
     #[serde(rename = "limit_grant")]
     LimitGrant(LimitGrant),
     #[serde(rename = "origin")]
@@ -2183,11 +2176,6 @@
         Self::Config(value)
     }
 }
-impl ::std::convert::From<StoreService> for Reply {
-    fn from(value: StoreService) -> Self {
-        Self::StoreService(value)
-    }
-}
 impl ::std::convert::From<LimitGrant> for Reply {
     fn from(value: LimitGrant) -> Self {
         Self::LimitGrant(value)
@@ -2474,19 +2462,6 @@
 ///    {
 ///      "type": "object",
 ///      "required": [
-///        "read_store_service"
-///      ],
-///      "properties": {
-///        "read_store_service": {
-///          "description": "Asks for the period in which the store has answered.",
-///          "type": "null"
-///        }
-///      },
-///      "additionalProperties": false
-///    },
-///    {
-///      "type": "object",
-///      "required": [
 ///        "ask_limit"
 ///      ],
 ///      "properties": {
@@ -2627,8 +2602,6 @@
     Facts(GatewayFacts),
     #[serde(rename = "read_config")]
     ReadConfig(u64),
-    #[serde(rename = "read_store_service")]
-    ReadStoreService,
     #[serde(rename = "ask_limit")]
     AskLimit(LimitAsk),
     #[serde(rename = "record_origin")]
