--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -96,6 +96,11 @@
     Duration::try_from_secs_f64(seconds.min(MAX_TIME.as_secs_f64())).ok()
 }
 
+/// Converts a time in milliseconds, up to a year; a negative one counts as zero.
+pub fn bounded_millis(ms: f64) -> Duration {
+    bounded_time(ms / 1_000.0).unwrap_or_default()
+}
+
 /// Returns pools with their weights as whole numbers, without those that have no positive weight. Weights that are no whole
 /// numbers, or too large, are scaled together.
 pub fn whole_weights(pools: Vec<(Name, f64)>) -> Vec<(Name, u32)> {
@@ -237,6 +242,11 @@
     pub fn add_defect(&mut self, part: &str, reason: impl fmt::Display) {
         self.defects.push(format!("{part}: {reason}"));
     }
+
+    /// Records the problems of a part that is used nevertheless.
+    pub fn add_defects(&mut self, part: &str, reasons: impl IntoIterator<Item = String>) {
+        reasons.into_iter().for_each(|reason| self.add_defect(part, reason));
+    }
 }
 
 /// Route of a host.
--- a/crates/gateway/src/attempts/hedge.rs
+++ b/crates/gateway/src/attempts/hedge.rs
@@ -407,8 +407,7 @@
             self.begun = Some(Begun::at_version(in_flight.tracked.target.version.clone()));
         }
         let tracked = self.pick_target(now, &held).ok_or(Denial::NoTarget)?;
-        let window = Duration::from_secs_f64(settings.retry_window_s);
-        if !self.shared.hedging.withdraw(now, settings.hedge_ratio, window) {
+        if !self.shared.hedging.withdraw(now, settings.hedge_ratio, settings.retry_window) {
             return Err(Denial::Budget);
         }
         if !self.withdraw_retry("hedge") {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -463,7 +463,7 @@
     tokio::spawn(watch_forever(shared.clone(), Config));
     tokio::spawn(watch_forever(shared.clone(), Targets));
     tokio::spawn(watch_forever(shared.clone(), Gateways));
-    if shared.settings().evacuation_ms.is_some() {
+    if shared.settings().evacuation_bound.is_some() {
         tokio::spawn(watch_forever(shared.clone(), evacuations::Evacuations));
     }
     tokio::spawn(register(shared.clone()));
--- a/crates/gateway/src/discovery/evacuations.rs
+++ b/crates/gateway/src/discovery/evacuations.rs
@@ -68,7 +68,7 @@
     list: Option<&messages::EvacuationList>,
     sent: Uptime,
 ) {
-    let Some(list) = list.filter(|_| shared.settings().evacuation_ms.is_some()) else { return };
+    let Some(list) = list.filter(|_| shared.settings().evacuation_bound.is_some()) else { return };
     let is_changed = shared.evacuations.merge(list, sent, boottime::now(), shared.restore_hold());
     on_list(shared, is_changed, "gateway");
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use marigold_link::server::Server as LinkServer;
 use marigold_objects::Store;
 use marigold_process::boottime;
-use marigold_schema::settings::GatewaySettings;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -21,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerHandler;
 use crate::ports::{CallersPort, MetricsPort, ReadinessPort};
+use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{discovery, origins, peers, poison, stage_runner};
 
@@ -42,7 +42,7 @@
     ///
     /// # Errors
     /// When a port cannot be opened or a setting is invalid; the error names it.
-    pub async fn bind(settings: GatewaySettings, store: S) -> anyhow::Result<Self> {
+    pub async fn bind(settings: Settings, store: S) -> anyhow::Result<Self> {
         let security = Security::open(&settings.cluster, &settings.link_secret, None)?;
         let link_address: SocketAddr = settings.link_address.parse().with_context(|| {
             format!("link_address `{}` is no IP address and port", settings.link_address)
@@ -99,14 +99,13 @@
     }
 
     /// Applies changed settings, as far as that is possible in a running process.
-    pub fn reload(&self, settings: GatewaySettings) {
+    pub fn reload(&self, settings: Settings) {
         let old = self.shared.settings();
         if *old == settings {
             return;
         }
-        let startup_settings = |settings: &GatewaySettings| {
-            let GatewaySettings { cluster, name, data_centre, callers_address, .. } =
-                settings.clone();
+        let startup_settings = |settings: &Settings| {
+            let Settings { cluster, name, data_centre, callers_address, .. } = settings.clone();
             let ports =
                 [&settings.ready_address, &settings.link_address, &settings.metrics_address];
             let ports = ports.map(Clone::clone);
@@ -134,7 +133,7 @@
     /// answered and the stages that run for peers are done. Requests that cannot be done within the stop time are given up
     /// before its end.
     pub async fn drain(&self) {
-        let stop_time = Duration::from_secs(u64::from(self.shared.settings().stop_s.get()));
+        let stop_time = self.shared.settings().stop_time;
         let started = boottime::now();
         let stop = Stop::begin(started, stop_time);
         self.shared.stop.begin(stop);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod request;
 mod response;
 pub mod run;
+pub mod settings;
 mod shared;
 mod stage_connections;
 mod stage_runner;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -15,13 +15,14 @@
 use marigold_link::security::Security;
 use marigold_process::boottime;
 use marigold_schema::messages::{GatewayEntry, GatewayFacts};
-use marigold_schema::settings::GatewaySettings;
 use parking_lot::Mutex;
 use rand::RngExt as _;
 use rand::seq::IteratorRandom as _;
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::settings::Settings;
+
 /// Number of failed polls in a row after which a gateway counts as unresponsive.
 const MISSED_POLL_LIMIT: u32 = 2;
 /// Number of failed polls in a row after which the link to a gateway is closed. One that has gone silent never recovers,
@@ -102,7 +103,7 @@
 impl Members {
     /// Creates a membership of this gateway only. It is settled from the start if the whole system starts for the first
     /// time.
-    pub(crate) fn new(settings: &GatewaySettings, security: Arc<Security>, now: Uptime) -> Self {
+    pub(crate) fn new(settings: &Settings, security: Arc<Security>, now: Uptime) -> Self {
         let state = State { is_settled: settings.first_start, ..State::default() };
         Self {
             name: settings.name.clone(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,7 +16,6 @@
 use marigold_objects::RecentChanges;
 use marigold_process::boottime;
 use marigold_schema::messages::{self, GatewayEntry, GatewayFacts, TargetInFlight};
-use marigold_schema::settings::GatewaySettings;
 use opentelemetry::KeyValue;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -39,6 +38,7 @@
 use crate::origins::versions::Versions;
 use crate::poison::{self, Poison};
 use crate::reply_memory::ReplyMemory;
+use crate::settings::Settings;
 use crate::stage_connections::StageConnections;
 use crate::stage_runner::ReleaseQueue;
 use crate::stop::StopSignal;
@@ -80,7 +80,7 @@
 
 /// State of one gateway.
 pub(crate) struct Shared<D, S> {
-    settings: ArcSwap<GatewaySettings>,
+    settings: ArcSwap<Settings>,
     pub(crate) incarnation: u64,
     started: Uptime,
     pub(crate) store: S,
@@ -147,12 +147,7 @@
 }
 
 impl<D: Dialect, S> Shared<D, S> {
-    pub(crate) fn new(
-        settings: GatewaySettings,
-        store: S,
-        members: Members,
-        metrics: Metrics,
-    ) -> Self {
+    pub(crate) fn new(settings: Settings, store: S, members: Members, metrics: Metrics) -> Self {
         let memory = Memory::new(settings.memory_mb, metrics.memory_refusals.clone());
         Self {
             settings: ArcSwap::from_pointee(settings),
@@ -205,12 +200,12 @@
     }
 
     /// Returns the settings in force.
-    pub(crate) fn settings(&self) -> Arc<GatewaySettings> {
+    pub(crate) fn settings(&self) -> Arc<Settings> {
         self.settings.load_full()
     }
 
     /// Replaces the settings in force.
-    pub(crate) fn set_settings(&self, settings: GatewaySettings) {
+    pub(crate) fn set_settings(&self, settings: Settings) {
         self.memory.set_megabytes(settings.memory_mb);
         self.settings.store(Arc::new(settings));
     }
@@ -298,8 +293,7 @@
     /// Returns the decisions that the age of the configuration permits.
     pub(crate) fn confidence(&self, now: Uptime) -> Confidence {
         let settings = self.settings();
-        let change_bound = Duration::from_millis(settings.change_bound_ms.get());
-        let revocation_bound = settings.revocation_ms.map(Duration::from_millis);
+        let (change_bound, revocation_bound) = (settings.change_bound, settings.revocation_bound);
         self.freshness.lock().confidence(now, change_bound, revocation_bound)
     }
 
@@ -391,20 +385,18 @@
 
     /// Returns the time after the store's recovery in which expired entries of live targets reappear.
     pub(crate) fn grace_period(&self) -> Duration {
-        Duration::from_millis(self.settings().lapse_ms)
+        self.settings().lapse
     }
 
     /// Returns the time after a restore of the store within which targets write themselves again, and the entries of those
     /// that are gone expire.
     pub(crate) fn restore_hold(&self) -> Duration {
-        store_service::expiry(Duration::from_millis(self.settings().target_heartbeat_ms.get()))
-            + self.grace_period()
+        store_service::expiry(self.settings().target_heartbeat) + self.grace_period()
     }
 
     /// Returns the shortest outage of the store in which the entries of live targets can expire.
     pub(crate) fn min_outage(&self) -> Duration {
-        let heartbeat = Duration::from_millis(self.settings().target_heartbeat_ms.get());
-        store_service::min_outage(heartbeat)
+        store_service::min_outage(self.settings().target_heartbeat)
     }
 
     /// Returns this gateway's entry in the membership.
@@ -492,8 +484,8 @@
     /// Returns whether the evacuated data centres are known, or it took too long to learn them.
     pub(crate) fn knows_evacuations(&self) -> bool {
         let now = boottime::now();
-        let Some(bound_ms) = self.settings().evacuation_ms else { return true };
-        let is_overdue = now >= self.started + Duration::from_secs_f64(bound_ms / 1_000.0);
+        let Some(bound) = self.settings().evacuation_bound else { return true };
+        let is_overdue = now >= self.started + bound;
         self.evacuations.age(now).is_some() || is_overdue
     }
 
@@ -520,7 +512,7 @@
         let limit = WindowLimit {
             ratio: settings.retry_ratio,
             reserve: settings.retry_reserve,
-            window: Duration::from_secs_f64(settings.retry_window_s),
+            window: settings.retry_window,
         };
         if now < self.started + limit.window { limit.after_restart() } else { limit }
     }
@@ -537,8 +529,8 @@
     pub(crate) fn count_repeatable(&self, repeat: Repeat) {
         let settings = self.settings();
         if settings.hedge_ratio > 0.0 && repeat != Repeat::Never {
-            let window = Duration::from_secs_f64(settings.retry_window_s);
-            self.hedging.on_request(boottime::now(), settings.hedge_ratio, window);
+            let (ratio, window) = (settings.hedge_ratio, settings.retry_window);
+            self.hedging.on_request(boottime::now(), ratio, window);
         }
     }
 
--- a/crates/schema/src/settings.rs
+++ b/crates/schema/src/settings.rs
@@ -262,9 +262,7 @@
 ///    },
 ///    "change_bound_ms": {
 ///      "description": "Time within which a confirmed change has to be in force, in milliseconds.",
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 1.0
+///      "type": "number"
 ///    },
 ///    "cluster": {
 ///      "description": "Name of the cluster; links to other clusters are refused.",
@@ -290,8 +288,7 @@
 ///    },
 ///    "lapse_ms": {
 ///      "description": "Time for which a target that was removed from the list while the store was unavailable is still used, in milliseconds.",
-///      "type": "integer",
-///      "format": "uint64"
+///      "type": "number"
 ///    },
 ///    "link_address": {
 ///      "description": "IP address and port for other gateways.",
@@ -337,14 +334,11 @@
 ///    },
 ///    "revocation_ms": {
 ///      "description": "Time after which a removed key has to be refused even if the store is unavailable, in milliseconds; absent if there is no such limit.",
-///      "type": "integer",
-///      "format": "uint64"
+///      "type": "number"
 ///    },
 ///    "stop_s": {
 ///      "description": "Time within which the process has to exit after a stop signal, in seconds.",
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 1.0
+///      "type": "number"
 ///    },
 ///    "store": {
 ///      "description": "IP address and port of the platform's object store.",
@@ -358,9 +352,7 @@
 ///    "target_heartbeat_ms": {
 ///      "description": "Interval at which targets renew their entries in the store, in milliseconds; an entry expires after three of them.",
 ///      "default": 1200,
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 1.0
+///      "type": "number"
 ///    },
 ///    "weight": {
 ///      "description": "CPU capacity of this process, in cores; gateways with a higher weight own more pools.",
@@ -377,7 +369,7 @@
     ///IP address and port for callers.
     pub callers_address: ::std::string::String,
     ///Time within which a confirmed change has to be in force, in milliseconds.
-    pub change_bound_ms: ::std::num::NonZeroU64,
+    pub change_bound_ms: f64,
     ///Name of the cluster; links to other clusters are refused.
     pub cluster: ::std::string::String,
     ///Data centre of this gateway.
@@ -392,7 +384,7 @@
     #[serde(default = "defaults::gateway_settings_hedge_ratio")]
     pub hedge_ratio: f64,
     ///Time for which a target that was removed from the list while the store was unavailable is still used, in milliseconds.
-    pub lapse_ms: u64,
+    pub lapse_ms: f64,
     ///IP address and port for other gateways.
     pub link_address: ::std::string::String,
     ///Secret shared by all processes of the cluster.
@@ -417,17 +409,17 @@
     pub retry_window_s: f64,
     ///Time after which a removed key has to be refused even if the store is unavailable, in milliseconds; absent if there is no such limit.
     #[serde(default)]
-    pub revocation_ms: ::std::option::Option<u64>,
+    pub revocation_ms: ::std::option::Option<f64>,
     ///Time within which the process has to exit after a stop signal, in seconds.
-    pub stop_s: ::std::num::NonZeroU32,
+    pub stop_s: f64,
     ///IP address and port of the platform's object store.
     pub store: ::std::string::String,
     ///Writes a second that the store takes from all gateways together.
     #[serde(default = "defaults::gateway_settings_store_writes_per_s")]
     pub store_writes_per_s: f64,
     ///Interval at which targets renew their entries in the store, in milliseconds; an entry expires after three of them.
-    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 1200>")]
-    pub target_heartbeat_ms: ::std::num::NonZeroU64,
+    #[serde(default = "defaults::gateway_settings_target_heartbeat_ms")]
+    pub target_heartbeat_ms: f64,
     ///CPU capacity of this process, in cores; gateways with a higher weight own more pools.
     pub weight: f64,
 }
@@ -534,4 +526,7 @@
     pub(super) fn gateway_settings_store_writes_per_s() -> f64 {
         400_f64
     }
+    pub(super) fn gateway_settings_target_heartbeat_ms() -> f64 {
+        1200_f64
+    }
 }
