Configuration: numbers without a meaning are named

A negative number in the operator's configuration was cut without a line, or named neither its field nor its value, and a route with a timeout of zero, which can serve nothing, counted as usable. Each line names the field, the value and what is wanted.

--- a/crates/objects/src/json_parts.rs
+++ b/crates/objects/src/json_parts.rs
@@ -78,6 +78,12 @@
         serde_json::from_slice(text).map_err(|err| format!("`{name}`: {err}"))
     }
 
+    /// Returns an error for each of some members that is a negative number.
+    pub fn negative_numbers(&self, names: &[&str]) -> Vec<String> {
+        let number = |name| self.read::<Option<Number>>(name).ok().flatten().unwrap_or_default();
+        names.iter().filter_map(|name| number(name).zero_or_more(name).err()).collect()
+    }
+
     /// Returns the elements of an array, which are not checked.
     ///
     /// # Errors
@@ -148,6 +154,27 @@
     pub fn whole(self) -> Option<u64> {
         self.whole
     }
+
+    /// Returns the value of a field that has to be above zero.
+    ///
+    /// # Errors
+    /// Names the field, its value, and what is wanted.
+    pub fn positive(self, field: &str) -> Result<f64> {
+        self.checked(field, self.value > 0.0, "a number above zero")
+    }
+
+    /// Returns the value of a field that must not be negative.
+    ///
+    /// # Errors
+    /// As for [`Number::positive`].
+    pub fn zero_or_more(self, field: &str) -> Result<f64> {
+        self.checked(field, self.value >= 0.0, "zero or a number above it")
+    }
+
+    fn checked(self, field: &str, is_valid: bool, wanted: &str) -> Result<f64> {
+        let value = is_valid.then_some(self.value);
+        value.ok_or_else(|| format!("`{field}` is {}; {wanted} is wanted", self.value))
+    }
 }
 
 impl<'de> Deserialize<'de> for Number {
