Streams keep a silent target until another one has taken over

A resumable stream without data for 1.5 s counted as broken: its connection was closed, which ends the run, and only then it was found out whether its stages could run again and another target was free.

Silence is a state of its own now. Another target is asked to go on, the silent one is kept, and the first that has an event goes on; without another one the silent target is waited for. Before the first event a target is given up only if the request may be sent to another one.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -248,7 +248,7 @@
     }
 
     /// Returns whether the route allows the request to run at another target.
-    fn can_retry(&self) -> bool {
+    pub(crate) fn can_retry(&self) -> bool {
         self.route.repeat != Repeat::Never && self.total_runs() < self.route.max_attempts
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,7 @@
 const MAX_UNCHARGED_BYTES: usize = 2 * 1024;
 /// Size up to which an incomplete event is kept in any case, in bytes; the rest draws on the memory that streams share.
 pub(crate) const MIN_BUFFERED_BYTES: usize = 8 * 1024;
-/// Time without data after which a resumable stream is resumed at another target. It is several times the gap between
+/// Time without data after which another target is asked to go on with a resumable stream. It is several times the gap between
 /// events that counts as late: by then the stream is late anyway, and resuming only ensures its completion.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after an event within which the next one must be complete, although data of it arrive. Callers give up a stream that
@@ -54,7 +54,9 @@
 pub(crate) enum StreamItem {
     Events(Bytes),
     End,
-    /// The stream failed, ended inside an event, or timed out.
+    /// A resumable stream has had no event for a while. Its target may still be at work.
+    Silent,
+    /// The stream failed, or ended inside an event.
     Broken(String),
 }
 
@@ -100,7 +102,7 @@
         self.sent.on_failure();
     }
 
-    /// Waits for the next complete events.
+    /// Waits for the next complete events. Dropping the future loses none of them.
     pub(crate) async fn next(&mut self) -> StreamItem {
         let completion_deadline = Instant::now() + EVENT_COMPLETION_TIMEOUT;
         loop {
@@ -108,12 +110,7 @@
                 let timeout_at = completion_deadline.min(Instant::now() + EVENT_TIMEOUT);
                 match time::timeout_at(timeout_at, self.body.frame()).await {
                     Ok(frame) => frame,
-                    Err(_) => {
-                        let reason = format!(
-                            "no data for {EVENT_TIMEOUT:?}, or no event for {EVENT_COMPLETION_TIMEOUT:?}"
-                        );
-                        return StreamItem::Broken(reason);
-                    }
+                    Err(_) => return StreamItem::Silent,
                 }
             } else {
                 self.body.frame().await
@@ -147,6 +144,74 @@
     }
 }
 
+/// Waits for the next item of a stream that is silent, and asks another target to go on with it meanwhile. The one that is first
+/// goes on: closing the other connection ends its run. Returns [`StreamItem::Silent`] when no target has taken over and the silence
+/// lasts.
+async fn next_after_silence<D: Dialect, S: Store>(
+    stream: &mut EventStream,
+    attempts: &mut Attempts<D, S>,
+) -> StreamItem {
+    tracing::warn!(
+        request = attempts.request(),
+        target = stream.target(),
+        software = stream.target_start().version,
+        last_event = stream.last_event(),
+        "stream silent"
+    );
+    stream.on_failure();
+    crashes::on_break(&attempts.shared, stream.sent().tracked(), None);
+    let resumed = resume_until_event(attempts, stream.last_event());
+    tokio::pin!(resumed);
+    let mut is_resuming = true;
+    // Why the stream ended while another target was asked.
+    let mut broken = None;
+    loop {
+        tokio::select! {
+            biased;
+            item = stream.next(), if broken.is_none() => match item {
+                StreamItem::Silent if is_resuming => {}
+                StreamItem::Broken(reason) if is_resuming => broken = Some(reason),
+                item => return item,
+            },
+            resumed = &mut resumed, if is_resuming => match resumed {
+                Some((other, item)) => {
+                    *stream = other;
+                    return item;
+                }
+                None => match broken {
+                    Some(reason) => return StreamItem::Broken(reason),
+                    None => is_resuming = false,
+                },
+            },
+        }
+    }
+}
+
+/// Resumes a stream at another target and waits for its first item; returns `None` when that fails.
+async fn resume_until_event<D: Dialect, S: Store>(
+    attempts: &mut Attempts<D, S>,
+    last_event: Option<u64>,
+) -> Option<(EventStream, StreamItem)> {
+    let mut stream = attempts.resume(last_event).await?;
+    loop {
+        match stream.next().await {
+            StreamItem::Silent => {}
+            StreamItem::Broken(reason) => {
+                tracing::warn!(
+                    request = attempts.request(),
+                    target = stream.target(),
+                    reason,
+                    "stream not resumed"
+                );
+                stream.on_failure();
+                crashes::on_break(&attempts.shared, stream.sent().tracked(), None);
+                return None;
+            }
+            item => return Some((stream, item)),
+        }
+    }
+}
+
 /// Forwards events until the stream ends, the caller disconnects, the deadline and its grace time have passed, or the gateway ends.
 pub(crate) async fn run<D: Dialect, S: Store>(
     mut stream: EventStream,
@@ -191,8 +256,16 @@
 ) -> &'static str {
     // Whether a target has answered without an event where the stream goes on.
     let mut is_end_claimed = false;
+    let mut is_silent = false;
     loop {
-        let reason = match stream.next().await {
+        let item = if is_silent {
+            next_after_silence(stream, attempts).await
+        } else {
+            stream.next().await
+        };
+        is_silent = matches!(item, StreamItem::Silent);
+        let reason = match item {
+            StreamItem::Silent => continue,
             StreamItem::Events(events) => {
                 is_end_claimed = false;
                 let Some(events) = hold_events(&attempts.shared.memory, events) else {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -499,7 +499,7 @@
         }
         let is_stream = attempts.route.streams && reply.response.status() == StatusCode::OK;
         let response = if is_stream {
-            start_stream(attempts, reply).await
+            start_stream(attempts, reply, true).await
         } else {
             read_full(attempts, reply).await
         };
@@ -539,7 +539,10 @@
                 }
                 failed_answer = Some(response);
             }
-            Err(reason) => {
+            Err(Unanswered::Silent) => {
+                tracing::warn!(request = attempts.request(), "no event; sent to another target");
+            }
+            Err(Unanswered::Broken(reason)) => {
                 tracing::warn!(request = attempts.request(), reason, "response ended early");
                 if !attempts.start_retry("broken_answer").await {
                     let reason = "the target's answer broke off";
@@ -580,7 +583,7 @@
 async fn read_full<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
     reply: Reply,
-) -> Result<TargetResponse, String> {
+) -> Result<TargetResponse, Unanswered> {
     let Reply { sent, response, .. } = reply;
     let (parts, body) = response.into_parts();
     let length = parts.headers.get(header::CONTENT_LENGTH);
@@ -590,7 +593,7 @@
         Err(err) => {
             sent.on_failure();
             attempts.on_break(&sent, true);
-            return Err(err);
+            return Err(Unanswered::Broken(err));
         }
     };
     attempts.on_answer(sent.tracked());
@@ -605,32 +608,55 @@
     Ok(TargetResponse::Full { status: parts.status, response, target: sent.target().to_owned() })
 }
 
-/// Waits for the first event of a stream, so that the request can be retried when the target fails before it.
+/// Why a target's response is given up.
+#[derive(Debug)]
+enum Unanswered {
+    Broken(String),
+    /// A stream has no event, and the request may be sent to another target.
+    Silent,
+}
+
+/// Waits for the first event of a stream, so that the request can be retried when the target fails before it. With `may_retry`, a
+/// target without an event for a while is given up if the request may be sent to another one.
 async fn start_stream<D: Dialect, S: Store>(
     attempts: &mut Attempts<D, S>,
     reply: Reply,
-) -> Result<TargetResponse, String> {
+    may_retry: bool,
+) -> Result<TargetResponse, Unanswered> {
     let Reply { sent, response, .. } = reply;
     let (head, body) = response.into_parts();
     let is_resumable = attempts.route.repeat == Repeat::Resumable;
     let hold = attempts.shared.incomplete_events.open(relay::MIN_BUFFERED_BYTES);
     let stream = EventStream::new(sent, body, hold, attempts.head.last_event, is_resumable);
     let mut stream = Box::new(stream);
-    match stream.next().await {
-        StreamItem::Events(first_events) => {
-            let (now, sent_at) = (boottime::now(), stream.sent_at());
-            let duration = now.saturating_sub(sent_at);
-            attempts.shared.durations.observe_first_event(&attempts.route.name, duration, now);
-            attempts.on_answer(stream.sent().tracked());
-            Ok(TargetResponse::Stream { head, first_events: Some(first_events), stream })
-        }
-        StreamItem::End => Ok(TargetResponse::Stream { head, first_events: None, stream }),
-        StreamItem::Broken(reason) => {
-            stream.on_failure();
-            attempts.on_break(stream.sent(), true);
-            Err(reason)
+    let mut may_retry = may_retry && attempts.can_retry();
+    let first_events = loop {
+        match stream.next().await {
+            StreamItem::Events(first_events) => break Some(first_events),
+            StreamItem::End => break None,
+            StreamItem::Silent if std::mem::take(&mut may_retry) => {
+                stream.on_failure();
+                attempts.on_break(stream.sent(), true);
+                if attempts.start_retry("silent_stream").await {
+                    return Err(Unanswered::Silent);
+                }
+            }
+            // No other target may be asked, and this one may still be at work.
+            StreamItem::Silent => {}
+            StreamItem::Broken(reason) => {
+                stream.on_failure();
+                attempts.on_break(stream.sent(), true);
+                return Err(Unanswered::Broken(reason));
+            }
         }
+    };
+    if first_events.is_some() {
+        let (now, sent_at) = (boottime::now(), stream.sent_at());
+        let duration = now.saturating_sub(sent_at);
+        attempts.shared.durations.observe_first_event(&attempts.route.name, duration, now);
+        attempts.on_answer(stream.sent().tracked());
     }
+    Ok(TargetResponse::Stream { head, first_events, stream })
 }
 
 fn stream_response<D: Dialect, S: Store>(
--- a/crates/gateway/src/request/hedged.rs
+++ b/crates/gateway/src/request/hedged.rs
@@ -95,14 +95,14 @@
         Some(reply) => {
             let is_stream = attempts.route.streams && reply.response.status() == StatusCode::OK;
             let answer = if is_stream {
-                start_stream(&mut attempts, reply).await
+                start_stream(&mut attempts, reply, false).await
             } else {
                 read_full(&mut attempts, reply).await
             };
             answer
                 .inspect_err(|reason| {
                     let request = attempts.request();
-                    tracing::warn!(request, reason, "response to a hedged request ended early");
+                    tracing::warn!(request, ?reason, "response to a hedged request ended early");
                 })
                 .ok()
         }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -83,6 +83,10 @@
     EmptyContinuation,
     /// The third event of a stream never ends, and grows by a byte now and then.
     Dripping,
+    /// A stream pauses before its third event, for [`PAUSE`].
+    Pause,
+    /// A stream pauses before its first event, for [`PAUSE`].
+    PauseFirst,
     /// The head of the response never ends.
     EndlessHead,
     /// The body of the response never ends, and holds no complete event.
@@ -91,6 +95,9 @@
     InputRemoved,
 }
 
+/// Pause of a stream with [`Fault::Pause`] or [`Fault::PauseFirst`].
+pub const PAUSE: Duration = Duration::from_millis(2_200);
+
 /// Fault in the replies to calls of pieces and calls that free results, or in their connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFault {
@@ -870,6 +877,14 @@
             if fault == Some(Fault::Dripping) && id == after + 3 {
                 return self.drip().await;
             }
+            let paused_at = match fault {
+                Some(Fault::Pause) => after + 3,
+                Some(Fault::PauseFirst) => after + 1,
+                _ => 0,
+            };
+            if id == paused_at && self.is_cancelled_in_extra_delay(PAUSE).await {
+                return Ok(());
+            }
             if is_last {
                 event.truncate(event.len() / 2);
             }
