Connections linger after their last response

A response was reset before its caller had read it all when the gateway closed the connection while bytes of the caller were unread: in a stop, and after each body in chunks. It lingered only when a body had not been read to its end. It now does so after each last response, for 0.5 s or until the caller closes.

--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -19,7 +19,7 @@
 
 use crate::response::{Aborted, Body};
 
-/// Time for which a connection is kept after a response to a request whose body is still being sent.
+/// Time for which a connection is kept after its last response for what the caller still sends.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
 /// Measures the time since the first byte of a request head on one connection.
@@ -27,8 +27,8 @@
     /// Arrival of the first byte of a head that is incomplete.
     started: Mutex<Option<Instant>>,
     is_busy: AtomicBool,
-    /// Whether the caller may still send the body of the last request.
-    has_unread_body: AtomicBool,
+    /// Whether the response in progress is the last one, during which the caller may still send the rest of a body or another request.
+    is_last_response: AtomicBool,
     /// When the connection was opened, or its last response ended.
     idle_since: Mutex<Instant>,
     head_started: Notify,
@@ -39,7 +39,7 @@
         Self {
             started: Mutex::default(),
             is_busy: AtomicBool::new(false),
-            has_unread_body: AtomicBool::new(false),
+            is_last_response: AtomicBool::new(false),
             idle_since: Mutex::new(Instant::now()),
             head_started: Notify::new(),
         }
@@ -64,14 +64,14 @@
     /// arrive meanwhile don't start the timer.
     pub(crate) fn on_request(self: &Arc<Self>) -> BusyGuard {
         self.is_busy.store(true, Ordering::Relaxed);
-        self.has_unread_body.store(false, Ordering::Relaxed);
+        self.is_last_response.store(false, Ordering::Relaxed);
         *self.started.lock() = None;
         BusyGuard(self.clone())
     }
 
-    /// Records that the body of the request was not read to its end.
-    pub(crate) fn on_unread_body(&self) {
-        self.has_unread_body.store(true, Ordering::Relaxed);
+    /// Records that the connection is closed after the response in progress, if there is one.
+    pub(crate) fn on_last_response(&self) {
+        self.is_last_response.store(self.is_busy.load(Ordering::Relaxed), Ordering::Relaxed);
     }
 
     /// Returns when a head has been incomplete for `timeout`.
@@ -162,7 +162,7 @@
         if self.lingering.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         }
-        if self.timer.has_unread_body.load(Ordering::Relaxed) {
+        if self.timer.is_last_response.load(Ordering::Relaxed) {
             return self.poll_linger(cx);
         }
         Poll::Ready(Ok(()))
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -229,8 +229,12 @@
         let timer = request_timer.clone();
         async move {
             let response = service.call(req).await;
-            if response.extensions().get::<UnreadBody>().is_some() {
-                timer.on_unread_body();
+            let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
+            // The connection is also closed after a response before the end of a body.
+            if response.extensions().get::<UnreadBody>().is_some()
+                || response.headers().get(header::CONNECTION).is_some_and(closes)
+            {
+                timer.on_last_response();
             }
             Ok::<_, Infallible>(response.map(|body| BusyBody { body, _busy: busy }))
         }
@@ -251,6 +255,7 @@
             match ended {
                 Some(result) => result,
                 None => {
+                    timer.on_last_response();
                     connection.as_mut().graceful_shutdown();
                     connection.await
                 }
