A stream that is cut ends with a reset for callers of HTTP/1.0

From the first byte of an answer without a length the kernel is told to reset the connection when it is closed; once the answer is whole this is taken back. The end of a stream is an explicit item of its queue, so that a task that ends early can't end it.

--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -29,6 +30,8 @@
     is_busy: AtomicBool,
     /// Whether the response in progress is the last one, during which the caller may still send the rest of a body or another request.
     is_last_response: AtomicBool,
+    /// Whether the end of the connection is the end of the response in progress, and that response is not complete.
+    must_reset: AtomicBool,
     /// When the connection was opened, or its last response ended.
     idle_since: Mutex<Instant>,
     head_started: Notify,
@@ -40,6 +43,7 @@
             started: Mutex::default(),
             is_busy: AtomicBool::new(false),
             is_last_response: AtomicBool::new(false),
+            must_reset: AtomicBool::new(false),
             idle_since: Mutex::new(Instant::now()),
             head_started: Notify::new(),
         }
@@ -74,6 +78,16 @@
         self.is_last_response.store(self.is_busy.load(Ordering::Relaxed), Ordering::Relaxed);
     }
 
+    /// Records whether the response in progress, whose end is that of the connection, is incomplete. While it is, the connection
+    /// ends with a reset, also when the process is killed.
+    pub(crate) fn set_reset(&self, must_reset: bool) {
+        self.must_reset.store(must_reset, Ordering::Relaxed);
+    }
+
+    fn must_reset(&self) -> bool {
+        self.must_reset.load(Ordering::Relaxed)
+    }
+
     /// Returns when a head has been incomplete for `timeout`.
     pub(crate) async fn expired(&self, timeout: Duration) {
         loop {
@@ -92,6 +106,13 @@
 /// Marks the connection as busy until dropped.
 pub(crate) struct BusyGuard(Arc<HeadTimer>);
 
+impl BusyGuard {
+    /// Records that the response is complete.
+    fn on_response_end(&self) {
+        self.0.set_reset(false);
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         *self.0.idle_since.lock() = Instant::now();
@@ -105,11 +126,23 @@
     timer: Arc<HeadTimer>,
     /// Time for which the connection still lingers; set once its write half is closed.
     lingering: Option<Pin<Box<Sleep>>>,
+    /// Whether the kernel resets the connection when it is closed.
+    resets: bool,
 }
 
 impl TimedStream {
     pub(crate) fn new(stream: TcpStream, timer: Arc<HeadTimer>) -> Self {
-        Self { stream, timer, lingering: None }
+        Self { stream, timer, lingering: None, resets: false }
+    }
+
+    /// Has the kernel reset the connection when it is closed, or not any more.
+    fn update_reset(&mut self) -> io::Result<()> {
+        let must_reset = self.timer.must_reset();
+        if self.resets != must_reset {
+            SockRef::from(&self.stream).set_linger(must_reset.then_some(Duration::ZERO))?;
+            self.resets = must_reset;
+        }
+        Ok(())
     }
 
     /// Discards what the caller sends until it closes the connection. A connection that is closed with unread bytes is
@@ -151,6 +184,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -159,6 +193,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.update_reset()?;
+        if self.resets {
+            return Poll::Ready(Ok(()));
+        }
         if self.lingering.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         }
@@ -173,6 +211,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -184,7 +223,7 @@
 /// A response body that marks its connection as busy until it has been sent.
 pub(crate) struct BusyBody {
     pub(crate) body: Body,
-    pub(crate) _busy: BusyGuard,
+    pub(crate) busy: BusyGuard,
 }
 
 impl http_body::Body for BusyBody {
@@ -195,7 +234,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(None) = polled {
+            self.busy.on_response_end();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -227,8 +228,12 @@
         let service = service.clone();
         let busy = request_timer.on_request();
         let timer = request_timer.clone();
+        let version = req.version();
         async move {
             let response = service.call(req).await;
+            timer.set_reset(
+                version == Version::HTTP_10 && response.body().size_hint().exact().is_none(),
+            );
             let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
             // The connection is also closed after a response before the end of a body.
             if response.extensions().get::<UnreadBody>().is_some()
@@ -236,7 +241,7 @@
             {
                 timer.on_last_response();
             }
-            Ok::<_, Infallible>(response.map(|body| BusyBody { body, _busy: busy }))
+            Ok::<_, Infallible>(response.map(|body| BusyBody { body, busy }))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::memory::Memory;
 use crate::reply_memory::ReplyHold;
 use crate::request::RequestGuard;
-use crate::response::{Aborted, Chunk};
+use crate::response::Chunk;
 
 /// Maximum number of chunks that are buffered for a slow caller.
 pub(crate) const MAX_QUEUED_CHUNKS: usize = 16;
@@ -231,11 +231,10 @@
             () = shared.stop.out_of_time() => "stopped",
         }
     };
-    // Aborting the body waits for a caller that does not read.
+    // Ending the body waits for a caller that does not read.
     guard.finish(StatusCode::OK, outcome, Some(stream.target()));
-    if !matches!(outcome, "whole" | "caller_left") {
-        // Closes the caller's connection without the end of the body.
-        let _ = caller.send(Err(Aborted)).await;
+    if outcome == "whole" {
+        let _ = caller.send(Chunk::End).await;
     }
 }
 
@@ -272,7 +271,7 @@
                     attempts.shared.memory.record_refusal("stream_given_up");
                     return "memory";
                 };
-                if caller.send(Ok(events)).await.is_err() {
+                if caller.send(Chunk::Data(events)).await.is_err() {
                     return "caller_left";
                 }
                 continue;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,7 +26,7 @@
 use crate::in_progress::{Phase, Progress};
 use crate::memory::{Denied, Hold, Memory};
 use crate::relay::{self, EventStream, StreamItem};
-use crate::response::{self, Body, Failure, UnreadBody};
+use crate::response::{self, Body, Chunk, Failure, UnreadBody};
 use crate::shared::{AdoptedConfig, Shared};
 use crate::stop::Work;
 use crate::upstream;
@@ -673,12 +673,15 @@
     match first_events {
         Some(first_events) => {
             // The channel is empty, so this doesn't fail.
-            let _ = tx.try_send(Ok(first_events));
+            let _ = tx.try_send(Chunk::Data(first_events));
             attempts.progress.set_phase(Phase::Stream);
             let deadline = attempts.deadline;
             tokio::spawn(relay::run(stream, attempts, tx, deadline, guard));
         }
-        None => guard.finish(head.status, "whole", Some(stream.target())),
+        None => {
+            let _ = tx.try_send(Chunk::End);
+            guard.finish(head.status, "whole", Some(stream.target()));
+        }
     }
     response
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -15,8 +15,12 @@
 #[error("the target's reply ended early")]
 pub(crate) struct Aborted;
 
-/// Chunk of a streamed body; an error aborts it.
-pub(crate) type Chunk = Result<Bytes, Aborted>;
+/// Part of a streamed body. Without [`Chunk::End`] the body is aborted, however its sender ends.
+pub(crate) enum Chunk {
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
 
 /// Body of a response.
 pub(crate) enum Body {
@@ -36,9 +40,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match self.get_mut() {
             Body::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Streamed(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Body::Streamed(chunks) => chunks.poll_recv(cx).map(|chunk| match chunk {
+                Some(Chunk::Data(data)) => Some(Ok(Frame::data(data))),
+                Some(Chunk::End) => None,
+                None => Some(Err(Aborted)),
+            }),
         }
     }
 
