Statuses above 599 are failures of the target

600 and 999 were passed on to callers with the mark of the target, and counted as its success. They are now treated like a reply that breaks off: another target where that is allowed, and else 502. 000, 099, 20 and 2x0 gave 502 before.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -43,6 +43,8 @@
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
 /// Targets with limits that were denied to a request, after which it uses targets without limits only.
 const MAX_DENIED_ASKS: usize = 4;
+/// Highest status of HTTP; the library that parses replies accepts three digits.
+const MAX_STATUS: u16 = 599;
 /// Number of route priorities that are distinguished. The deployments declare three.
 const ROUTE_PRIORITIES: u8 = 4;
 /// Lowest urgency that targets accept; 0 is the highest.
@@ -449,11 +451,17 @@
         if is_own_reply {
             announcements::observe(&self.shared.targets, tracked, &head, sent_at);
         }
+        let status = response.status();
         if !(head.not_run && is_own_reply) {
-            return Ok(Reply { sent, head, response });
+            if status.as_u16() <= MAX_STATUS {
+                return Ok(Reply { sent, head, response });
+            }
+            sent.on_failure();
+            let (request, target, status) = (self.request(), sent.target(), status.as_u16());
+            tracing::warn!(request, target, status, "invalid status of the target");
+            return Err(NoAnswer::Broken);
         }
         self.on_refused_by_target(sent_at);
-        let status = response.status();
         tracing::info!(
             request = self.request(),
             target = tracked.target.id,
