Streams: no resumption without an attempt left, and a reset until the last byte is written

A silent stream without another attempt logged that it cannot go on each 1.5 s although its target is waited for. The reset of an incomplete answer over HTTP/1.0 was taken back before the rest of the buffer was written, so that a kill in between could still end a part orderly; it now stays until the connection is shut down.

--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -135,16 +135,20 @@
         Self { stream, timer, lingering: None, resets: false }
     }
 
-    /// Has the kernel reset the connection when it is closed, or not any more.
-    fn update_reset(&mut self) -> io::Result<()> {
-        let must_reset = self.timer.must_reset();
-        if self.resets != must_reset {
-            SockRef::from(&self.stream).set_linger(must_reset.then_some(Duration::ZERO))?;
-            self.resets = must_reset;
+    /// Sets whether the kernel resets the connection when it is closed.
+    fn set_resets(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets != resets {
+            SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO))?;
+            self.resets = resets;
         }
         Ok(())
     }
 
+    /// Called before bytes are written. The reset is taken back when all are written, in [`Self::poll_shutdown`].
+    fn on_write(&mut self) -> io::Result<()> {
+        if self.timer.must_reset() { self.set_resets(true) } else { Ok(()) }
+    }
+
     /// Discards what the caller sends until it closes the connection. A connection that is closed with unread bytes is
     /// reset, and the caller may lose the response.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -184,7 +188,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.update_reset()?;
+        self.on_write()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -193,8 +197,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.update_reset()?;
-        if self.resets {
+        let must_reset = self.timer.must_reset();
+        self.set_resets(must_reset)?;
+        if must_reset {
             return Poll::Ready(Ok(()));
         }
         if self.lingering.is_none() {
@@ -211,7 +216,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.update_reset()?;
+        self.on_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -160,9 +160,10 @@
     );
     stream.on_failure();
     crashes::on_break(&attempts.shared, stream.sent().tracked(), None);
+    let may_resume = attempts.can_retry();
     let resumed = resume_until_event(attempts, stream.last_event());
     tokio::pin!(resumed);
-    let mut is_resuming = true;
+    let mut is_resuming = may_resume;
     // Why the stream ended while another target was asked.
     let mut broken = None;
     loop {
