--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -191,8 +191,12 @@
     const KIND: &'static str = D::CONFIG_KIND;
     const WAIT: Duration = CONFIG_WAIT;
 
+    /// A gateway without a configuration waits for it.
     fn wait_time(&self, shared: &Shared<D, S>) -> Duration {
-        wait_time_of_watcher(shared, CONFIG_WAIT)
+        match &*shared.adopted.load() {
+            Some(_) => wait_time_of_watcher(shared, CONFIG_WAIT),
+            None => CONFIG_WAIT,
+        }
     }
 
     /// Watchers call at once. Other gateways call only if they have no configuration, or if the newest proof relayed by
