Demo: keep the ports of the deployment's agents free

What was seen: the demo ended with "listening on 127.0.0.1:21002: Address already in use", in about 1 of 120 runs of its tests by a model of the allocation.

Cause: the demo allocates ports from an offset of its process ID, in a range that holds the fixed addresses of the deployment's agents. A stand-in could take such an address before its agent was started.

Fix: addresses of the deployment are skipped, and the range ends below those of the deployments here, so that one demo does not take the addresses of another. The tests run one demo at a time: two processes may still allocate the same port.

--- a/crates/marigold/src/demo/cluster.rs
+++ b/crates/marigold/src/demo/cluster.rs
@@ -33,8 +33,8 @@
 /// Time within which all entries together have to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Ports of the demo, below those that operating systems give to outgoing connections.
-const PORTS: Range<u16> = 10_000..32_000;
+/// Ports of the demo, below those of the agents in `deployments/` and those that operating systems give to outgoing connections.
+const PORTS: Range<u16> = 10_000..21_000;
 /// Serial of the next port to try, before the offset of the process.
 static NEXT_SERIAL: AtomicU32 = AtomicU32::new(0);
 
@@ -52,22 +52,26 @@
     urls: Vec<String>,
 }
 
-/// Returns an unused loopback address, on a port that no outgoing connection takes before it is bound.
-fn free_addr() -> anyhow::Result<SocketAddr> {
+/// Returns an unused loopback address, on a port that neither an outgoing connection nor an agent of the deployment takes before
+/// it is bound.
+fn free_addr(declarations: &Declarations) -> anyhow::Result<SocketAddr> {
+    let is_declared = |addr: &SocketAddr| {
+        declarations.target.values().any(|target| target.address == addr.to_string())
+    };
     let offset = std::process::id().wrapping_mul(977);
     let count = PORTS.end - PORTS.start;
-    let bind = |_| {
+    let next = |_| {
         let serial = NEXT_SERIAL.fetch_add(1, Ordering::Relaxed).wrapping_add(offset);
-        TcpListener::bind(("127.0.0.1", PORTS.start + (serial % u32::from(count)) as u16)).ok()
+        SocketAddr::from(([127, 0, 0, 1], PORTS.start + (serial % u32::from(count)) as u16))
     };
-    let listener = (0..count).find_map(bind).context("looking for a free port")?;
-    listener.local_addr().context("looking for a free port")
+    let is_free = |addr: &SocketAddr| !is_declared(addr) && TcpListener::bind(addr).is_ok();
+    (0..count).map(next).find(is_free).context("looking for a free port")
 }
 
 impl Cluster {
     /// Starts the deployment and waits until all entries are ready.
     pub(super) async fn spawn(declarations: &Declarations) -> anyhow::Result<Cluster> {
-        let platform_addr = free_addr()?;
+        let platform_addr = free_addr(declarations)?;
         platform::spawn(platform_addr, platform::Options::default())
             .await
             .context("starting a stand-in")?;
@@ -81,7 +85,7 @@
         };
         for (name, target) in &declarations.target {
             let pool = &declarations.pool[&target.pool];
-            let addr = free_addr()?;
+            let addr = free_addr(declarations)?;
             cluster.targets.push(spawn_target(addr, pool).await?);
             let agent = Agent::bind(agent_settings(name, target, addr, &platform_url)?).await;
             cluster._agents.push(agent.with_context(|| format!("starting the agent of `{name}`"))?);
@@ -97,10 +101,11 @@
         platform: &str,
     ) -> anyhow::Result<()> {
         let data_centres: Vec<&String> = declarations.data_centre.keys().collect();
-        let link_addrs = (0..ENTRIES).map(|_| free_addr()).collect::<anyhow::Result<Vec<_>>>()?;
+        let link_addrs =
+            (0..ENTRIES).map(|_| free_addr(declarations)).collect::<anyhow::Result<Vec<_>>>()?;
         let data_centre_of = |i: usize| data_centres[i % data_centres.len()];
         for (i, link_addr) in link_addrs.iter().enumerate() {
-            let http_addr = free_addr()?;
+            let http_addr = free_addr(declarations)?;
             let peer_links = link_addrs.iter().enumerate().filter(|(j, _)| *j != i);
             let peers: Vec<Value> = peer_links
                 .map(|(j, peer)| json!({ "address": peer.to_string(), "data_centre": data_centre_of(j) }))
