Times given as fractions are rounded down to nanoseconds

Whole milliseconds are converted exactly, as before.

bounded_time_is_never_longer failed before: 1.6e-9 s became 2 ns, 1 ns wanted.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -91,9 +91,13 @@
 /// Longest time; a longer one would mean the same, and overflow where times are added.
 const MAX_TIME: Duration = Duration::from_secs(366 * 24 * 3_600);
 
-/// Converts a time in seconds, up to a year; returns `None` if it is negative.
+/// Converts a time in seconds, up to a year, and rounds it down to nanoseconds; returns `None` if it is negative.
 pub fn bounded_time(seconds: f64) -> Option<Duration> {
-    Duration::try_from_secs_f64(seconds.min(MAX_TIME.as_secs_f64())).ok()
+    let seconds = seconds.min(MAX_TIME.as_secs_f64());
+    let nearest = Duration::try_from_secs_f64(seconds).ok()?;
+    // A smaller difference is an error of the conversion back.
+    let is_longer = nearest.as_secs_f64() - seconds > seconds * f64::EPSILON;
+    Some(nearest.saturating_sub(Duration::from_nanos(is_longer.into())))
 }
 
 /// Converts a time in milliseconds, up to a year; a negative one counts as zero.
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -159,3 +159,18 @@
     let routing = Routing::from(Content { has_unread_routes: true, ..content });
     assert_eq!(routing.route("other.example", "/a/").err(), Some(Refusal::Unusable));
 }
+
+/// Guards against bounds that are longer than their numbers: times were rounded to the nearest nanosecond.
+#[test]
+fn bounded_time_is_never_longer() {
+    let nanos = |time: Option<Duration>| time.map(|time| time.as_nanos());
+    for (seconds, wanted) in
+        [(1.4e-9, 1), (1.6e-9, 1), (0.9e-9, 0), (5.000_000_000_8, 5_000_000_000)]
+    {
+        assert_eq!(nanos(routes::bounded_time(seconds)), Some(wanted), "{seconds}");
+    }
+    for ms in 0..100_000_u32 {
+        let time = routes::bounded_time(f64::from(ms) / 1_000.0);
+        assert_eq!(time, Some(Duration::from_millis(ms.into())), "{ms} ms");
+    }
+}
