Gateways and links listen with a larger backlog

Cause: listeners had the default backlog of 128. When more connections are opened before the process accepts them, the kernel drops the opening packets of the others, and callers send them again after a second.

Why this works: the kernel establishes the connections without the process.

--- a/crates/gateway/src/http_server.rs
+++ b/crates/gateway/src/http_server.rs
@@ -22,6 +22,10 @@
 use crate::response::{Body, UnreadBody};
 use crate::upstream;
 
+/// Established connections that wait to be accepted; the system may allow fewer. A caller beyond them sends its opening packet
+/// again after a second.
+const BACKLOG: i32 = 4096;
+
 /// Backoff after a failed accept, for example while the process has no file descriptors left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -89,6 +93,9 @@
     ) -> anyhow::Result<Server> {
         let listener =
             TcpListener::bind(addr).await.with_context(|| format!("listening on {addr}"))?;
+        SockRef::from(&listener)
+            .listen(BACKLOG)
+            .with_context(|| format!("setting the backlog of {addr}"))?;
         let addr = listener.local_addr().context("reading the listener's address")?;
         let task = tokio::spawn(accept_all(listener, service, stop, connections.clone()));
         Ok(Server { addr, task, connections })
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -8,6 +8,7 @@
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use marigold_schema::messages::{Reply, Request};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -27,6 +28,9 @@
 const MAX_STREAMS: u32 = 4096;
 /// Maximum number of connections, including those that are still in a handshake.
 const MAX_CONNECTIONS: usize = 4096;
+/// Established connections that wait to be accepted; the system may allow fewer. A peer beyond them sends its opening packet
+/// again after a second.
+const BACKLOG: i32 = 4096;
 
 /// Handler of the requests that a server receives.
 pub trait Handler: Send + Sync + 'static {
@@ -94,6 +98,7 @@
         handler: Arc<H>,
     ) -> Result<Server> {
         let listener = TcpListener::bind(addr).await.map_err(Error::at(Step::Bind, addr))?;
+        SockRef::from(&listener).listen(BACKLOG).map_err(Error::at(Step::Bind, addr))?;
         let addr = listener.local_addr().map_err(Error::at(Step::Bind, addr))?;
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(accept_connections(listener, security, handler, stopped));
