--- a/review/tool-3/src/crowd.rs
+++ b/review/tool-3/src/crowd.rs
@@ -68,7 +68,9 @@
 pub async fn run(cx: &Context) -> Verdict {
     let mut cluster = cx.start_with("review-crowd", 1, 2, &OPTIONS).await;
     cluster
-        .configure_with(&[API_KEY], |config| config["limits"]["maxBodyBytes"] = MAX_BODY_BYTES.into())
+        .configure_with(&[API_KEY], |config| {
+            config["limits"]["maxBodyBytes"] = MAX_BODY_BYTES.into()
+        })
         .await;
     time::sleep(Duration::from_secs(3)).await;
     if send_ordinary(cx, &cluster, "before").await != Some(200) {
@@ -79,7 +81,10 @@
     cx.note(&format!("resident before the crowd: {idle} bytes"));
     let mut callers = JoinSet::new();
     if cx.has_trouble {
-        cx.note(&format!("{CALLERS} callers send chunked bodies of {} bytes", CHUNKS * CHUNK_BYTES));
+        cx.note(&format!(
+            "{CALLERS} callers send chunked bodies of {} bytes",
+            CHUNKS * CHUNK_BYTES
+        ));
         for number in 0..CALLERS {
             callers.spawn(call(addr, number));
         }
@@ -106,7 +111,8 @@
             ordinary += 1;
             // Not awaited for long: the crowd may come first.
             let id = format!("ordinary-{ordinary}");
-            let sent = time::timeout(Duration::from_secs(2), send_ordinary(cx, &cluster, &id)).await;
+            let sent =
+                time::timeout(Duration::from_secs(2), send_ordinary(cx, &cluster, &id)).await;
             if sent.is_err() {
                 cx.note(&format!("ordinary request {id}: no answer within 2 s"));
             }
--- a/review/tool-3/src/main.rs
+++ b/review/tool-3/src/main.rs
@@ -4,6 +4,7 @@
 
 mod crowd;
 mod restored_key;
+mod resumed;
 mod support;
 
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
     let ended = time::timeout(MAX_DURATION, async {
         match case.as_str() {
             "crowd" => Some(crowd::run(&cx).await),
+            "resumed" => Some(resumed::run(&cx).await),
             "restored-key" => Some(restored_key::run(&cx).await),
             _ => None,
         }
