--- a/review/tool-3/src/main.rs
+++ b/review/tool-3/src/main.rs
@@ -3,8 +3,7 @@
 //! Usage: `review-3 CASE GATEWAY RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod crowd;
-mod restored_key;
-mod resumed;
+mod odd_entry;
 mod support;
 
 use std::path::PathBuf;
@@ -28,8 +27,7 @@
     let ended = time::timeout(MAX_DURATION, async {
         match case.as_str() {
             "crowd" => Some(crowd::run(&cx).await),
-            "resumed" => Some(resumed::run(&cx).await),
-            "restored-key" => Some(restored_key::run(&cx).await),
+            "odd-entry" => Some(odd_entry::run(&cx).await),
             _ => None,
         }
     });
