--- a/review/tool-3/src/main.rs
+++ b/review/tool-3/src/main.rs
@@ -4,6 +4,7 @@
 
 mod crowd;
 mod odd_entry;
+mod slow_reader;
 mod support;
 
 use std::path::PathBuf;
@@ -28,6 +29,7 @@
         match case.as_str() {
             "crowd" => Some(crowd::run(&cx).await),
             "odd-entry" => Some(odd_entry::run(&cx).await),
+            "slow-reader" => Some(slow_reader::run(&cx).await),
             _ => None,
         }
     });
